--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+.PHONY: test format lint unit race demo generate build measure
+
+# The Go files that gofmt checks; generated code is included because the generators format it.
+GO_FILES := $(shell git ls-files -co --exclude-standard '*.go')
+
+build:
+	go build -o bin/ ./cmd/...
+
+test: format lint unit
+
+format:
+	@out="$$(gofmt -l $(GO_FILES))"; if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+
+lint:
+	go vet ./...
+	go tool staticcheck ./...
+
+unit:
+	go test -count=1 ./...
+
+race:
+	go test -race -count=1 ./...
+
+demo: build
+	./bin/demo
+
+measure: build
+	./bin/measure
+
+# Needs buf, protoc-gen-go and protoc-gen-connect-go on the PATH; the generated code is committed.
+generate:
+	cd proto && buf generate
--- /dev/null
+++ b/outcome/doc.go
@@ -0,0 +1,2 @@
+// Package outcome tells what became of a request.
+package outcome
--- /dev/null
+++ b/outcome/reason.go
@@ -0,0 +1,56 @@
+package outcome
+
+// Reason is the cause of a NotRun or Unknown outcome in kebab case, as sent on the wire.
+type Reason string
+
+// Reasons of NotRun.
+const (
+	// BadRequest marks a request that breaks the protocol, a limit or the configuration.
+	BadRequest Reason = "bad-request"
+	// TooLarge marks a body or header above its limit.
+	TooLarge Reason = "too-large"
+	// KeyReused marks a key that was used with another request.
+	KeyReused Reason = "key-reused"
+	// LedgerFull marks a non-idempotent request that found no room for its key.
+	LedgerFull Reason = "ledger-full"
+	// DeadlineUnreachable marks a request that could not be answered before its deadline.
+	DeadlineUnreachable Reason = "deadline-unreachable"
+	// QueueFull marks a request that was displaced from a full queue.
+	QueueFull Reason = "queue-full"
+	// NoUpstream marks a request for which no upstream could be used.
+	NoUpstream Reason = "no-upstream"
+	// NoFreeSlot marks a spilled request that found no free slot.
+	NoFreeSlot Reason = "no-free-slot"
+	// Refused marks a request that upstreams refused before running it.
+	Refused Reason = "refused"
+	// Quarantined marks a request whose fingerprint crashed several upstreams.
+	Quarantined Reason = "quarantined"
+	// Isolated marks a request at an entry VM that hears neither the store nor any peer.
+	Isolated Reason = "isolated"
+	// NotReady marks a request at an entry VM that has no configuration in force yet.
+	NotReady Reason = "not-ready"
+	// TooDeep marks a request nested deeper than the limit.
+	TooDeep Reason = "too-deep"
+	// Unreachable marks a request that could not be delivered at all.
+	Unreachable Reason = "unreachable"
+	// Cancelled marks a request whose caller went away.
+	Cancelled Reason = "cancelled"
+)
+
+// Reasons of Unknown.
+const (
+	// Timeout marks a request that was sent and not answered before its deadline.
+	Timeout Reason = "timeout"
+	// ConnectionLost marks a request whose connection broke after bytes of it were written.
+	ConnectionLost Reason = "connection-lost"
+	// Truncated marks an answer that ended early or exceeded its limit.
+	Truncated Reason = "truncated"
+	// Mismatched marks an answer that names another request.
+	Mismatched Reason = "mismatched"
+	// KeyExpired marks a key whose record may already be forgotten.
+	KeyExpired Reason = "key-expired"
+	// HomeGone marks a key whose incarnation is no longer reachable.
+	HomeGone Reason = "home-gone"
+	// AnswerNotKept marks a repeated key whose request was answered with an answer too large to keep.
+	AnswerNotKept Reason = "answer-not-kept"
+)
--- /dev/null
+++ b/peerpb/doc.go
@@ -0,0 +1,2 @@
+// Package peerpb holds the generated messages of the protocol between entry VMs.
+package peerpb
--- /dev/null
+++ b/peerpb/peerpbconnect/doc.go
@@ -0,0 +1,2 @@
+// Package peerpbconnect holds the generated connect-go client and handler of the protocol between entry VMs.
+package peerpbconnect
--- /dev/null
+++ b/request/doc.go
@@ -0,0 +1,2 @@
+// Package request describes the work that a caller asks for.
+package request
--- /dev/null
+++ b/settings/doc.go
@@ -0,0 +1,2 @@
+// Package settings reads the settings of one entry VM's process.
+package settings
