Let the kernel's Stop release its Start

Cause: kratos does not cancel the context of a server's Start on stop, so that the application never ended. Ruled out: cancelling a context of our own around the application; the kernel must work without it. Change: Start also ends when Stop has run; the started count is guarded by a mutex. Measured: the new test hangs before the change and passes after it.

--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 )
@@ -18,13 +19,16 @@
 type Kernel struct {
 	names    []string
 	services map[string]Service
-	started  int
 	running  chan struct{}
+	stopped  chan struct{}
+
+	mu      sync.Mutex
+	started int
 }
 
 // New returns an empty kernel.
 func New() *Kernel {
-	return &Kernel{services: make(map[string]Service), running: make(chan struct{})}
+	return &Kernel{services: make(map[string]Service), running: make(chan struct{}), stopped: make(chan struct{})}
 }
 
 // Register adds a service under a name; it panics if the name is taken.
@@ -50,17 +54,29 @@
 	return t, nil
 }
 
-// Start starts the services in the order of their registration and then waits for ctx, as kratos expects
-// of a server. If a service fails to start, those before it are stopped again.
+// Start starts the services in the order of their registration and then waits for Stop or the end of ctx,
+// as kratos expects of a server. If a service fails to start, those before it are stopped again.
 func (k *Kernel) Start(ctx context.Context) error {
+	if err := k.startAll(ctx); err != nil {
+		return err
+	}
+	close(k.running)
+	select {
+	case <-ctx.Done():
+	case <-k.stopped:
+	}
+	return nil
+}
+
+func (k *Kernel) startAll(ctx context.Context) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	for _, name := range k.names {
 		if err := k.services[name].Start(ctx); err != nil {
-			return errors.CombineErrors(errors.Wrapf(err, "kernel: start %s", name), k.stop(ctx))
+			return errors.CombineErrors(errors.Wrapf(err, "kernel: start %s", name), k.stopStarted(ctx))
 		}
 		k.started++
 	}
-	close(k.running)
-	<-ctx.Done()
 	return nil
 }
 
@@ -69,12 +85,15 @@
 	return k.running
 }
 
-// Stop stops the started services in reverse order and returns all errors combined.
+// Stop stops the started services in reverse order and returns all errors combined; call it once.
 func (k *Kernel) Stop(ctx context.Context) error {
-	return k.stop(ctx)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	defer close(k.stopped)
+	return k.stopStarted(ctx)
 }
 
-func (k *Kernel) stop(ctx context.Context) error {
+func (k *Kernel) stopStarted(ctx context.Context) error {
 	var all error
 	for ; k.started > 0; k.started-- {
 		name := k.names[k.started-1]
--- a/kernel/kernel_test.go
+++ b/kernel/kernel_test.go
@@ -58,3 +58,16 @@
 		So(err, ShouldNotBeNil)
 	})
 }
+
+// TestStopReleasesStart guards against a Start that waits only for its context, which kratos does not cancel on stop.
+func TestStopReleasesStart(t *testing.T) {
+	Convey("Given a running kernel", t, func() {
+		k := kernel.New()
+		k.Register("a", &recorder{name: "a", log: new([]string)})
+		done := make(chan error, 1)
+		go func() { done <- k.Start(context.Background()) }()
+		<-k.Running()
+		So(k.Stop(context.Background()), ShouldBeNil)
+		So(<-done, ShouldBeNil)
+	})
+}
