--- /dev/null
+++ b/home/home.go
@@ -0,0 +1,146 @@
+package home
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fulmarhitch/fulmarhitch/declaration"
+	"github.com/fulmarhitch/fulmarhitch/member"
+)
+
+// minUpstreams is the number of upstreams below which a failure domain joins another group of its region.
+const minUpstreams = 2
+
+// Group is the upstreams of one service that share a queue.
+type Group struct {
+	// ID is "service/failure-domain".
+	ID string
+	// Service, FailureDomain and Region say where the group is.
+	Service, FailureDomain, Region string
+	// Upstreams are the group's upstreams in the order of the file, with leaving ones.
+	Upstreams []declaration.Upstream
+}
+
+// Slots returns the sum of the slots of the upstreams that are not leaving.
+func (g Group) Slots() int {
+	n := 0
+	for _, u := range g.Upstreams {
+		if !u.Leaving {
+			n += u.Slots
+		}
+	}
+	return n
+}
+
+// Groups returns the service's groups sorted by identifier. Failure domains with fewer than 2 upstreams join the
+// failure domain of their region that has the most; ties go to the lowest name.
+func Groups(d *declaration.Declaration, s *declaration.Service) []Group {
+	count := make(map[string]int)
+	for _, u := range s.Upstreams {
+		count[u.FailureDomain]++
+	}
+	largest := make(map[string]string)
+	for domain, n := range count {
+		region := Region(d, domain)
+		best, ok := largest[region]
+		if !ok || n > count[best] || (n == count[best] && domain < best) {
+			largest[region] = domain
+		}
+	}
+	groups := make(map[string]*Group)
+	for _, u := range s.Upstreams {
+		domain := u.FailureDomain
+		region := Region(d, domain)
+		if count[domain] < minUpstreams {
+			domain = largest[region]
+		}
+		g := groups[domain]
+		if g == nil {
+			g = &Group{ID: s.Name + "/" + domain, Service: s.Name, FailureDomain: domain, Region: region}
+			groups[domain] = g
+		}
+		g.Upstreams = append(g.Upstreams, u)
+	}
+	all := make([]Group, 0, len(groups))
+	for _, g := range groups {
+		all = append(all, *g)
+	}
+	slices.SortFunc(all, func(a, b Group) int { return strings.Compare(a.ID, b.ID) })
+	return all
+}
+
+// Order returns the usable VMs of live in the order in which they are the group's home. Candidates are those of the
+// group's failure domain; without any, those of its region; without any, all.
+func Order(g Group, d *declaration.Declaration, live []member.Member) []member.Member {
+	var usable []member.Member
+	for _, m := range live {
+		if m.Usable() {
+			usable = append(usable, m)
+		}
+	}
+	near := func(accept func(domain string) bool) []member.Member {
+		return slices.DeleteFunc(slices.Clone(usable), func(m member.Member) bool { return !accept(m.FailureDomain) })
+	}
+	candidates := near(func(domain string) bool { return domain == g.FailureDomain })
+	if len(candidates) == 0 {
+		candidates = near(func(domain string) bool { return Region(d, domain) == g.Region })
+	}
+	if len(candidates) == 0 {
+		candidates = usable
+	}
+	return rendezvous(g.ID, candidates)
+}
+
+// Readers returns the names of the two VMs of the failure domain that read the store and the VM list, or fewer if
+// the failure domain has fewer usable VMs.
+func Readers(domain string, live []member.Member) []string {
+	var candidates []member.Member
+	for _, m := range live {
+		if m.Usable() && m.FailureDomain == domain {
+			candidates = append(candidates, m)
+		}
+	}
+	ordered := rendezvous("readers/"+domain, candidates)
+	names := make([]string, 0, 2)
+	for _, m := range ordered[:min(2, len(ordered))] {
+		names = append(names, m.Name)
+	}
+	return names
+}
+
+// Region returns the region of the failure domain, or the empty string if the file does not name it.
+func Region(d *declaration.Declaration, domain string) string {
+	for _, f := range d.FailureDomains {
+		if f.Name == domain {
+			return f.Region
+		}
+	}
+	return ""
+}
+
+// rendezvous orders the members by the hash of key and name, highest first. The hash of a pair does not depend on
+// the other members, so a VM that comes or goes moves only the keys that it wins or held.
+func rendezvous(key string, members []member.Member) []member.Member {
+	type scored struct {
+		member.Member
+		score uint64
+	}
+	all := make([]scored, len(members))
+	for i, m := range members {
+		all[i] = scored{m, xxhash.Sum64String(key + "\x00" + m.Name)}
+	}
+	slices.SortFunc(all, func(a, b scored) int {
+		if c := cmp.Compare(b.score, a.score); c != 0 {
+			return c
+		}
+		return strings.Compare(a.Name, b.Name)
+	})
+	ordered := make([]member.Member, len(all))
+	for i, s := range all {
+		ordered[i] = s.Member
+	}
+	return ordered
+}
--- /dev/null
+++ b/steer/doc.go
@@ -0,0 +1,2 @@
+// Package steer answers which addresses callers of a service use.
+package steer
--- /dev/null
+++ b/steer/steer.go
@@ -0,0 +1,165 @@
+package steer
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/fulmarhitch/fulmarhitch/declaration"
+	"github.com/fulmarhitch/fulmarhitch/home"
+	"github.com/fulmarhitch/fulmarhitch/member"
+)
+
+// maxAddresses bounds an answer.
+const maxAddresses = 4
+
+// ErrNoService marks an answer for a service that the file does not name.
+var ErrNoService = errors.New("steer: no such service")
+
+// ErrNoVM marks an answer for which no live VM is known.
+var ErrNoVM = errors.New("steer: no live entry VM")
+
+// Addresses is the answer to a caller.
+type Addresses struct {
+	// Lifetime is how long the caller may keep the answer.
+	Lifetime time.Duration
+	// Now is the time of the answer.
+	Now time.Time
+	// List holds 1 to 4 addresses, best first.
+	List []Address
+}
+
+// Address is one entry VM that the caller may use.
+type Address struct {
+	// Name is the VM's name.
+	Name string
+	// Address is IP address and port.
+	Address string
+	// Incarnation is the VM's incarnation as 16 hex digits.
+	Incarnation string
+	// FailureDomain is the VM's failure domain.
+	FailureDomain string
+}
+
+// Caller is what is known of the one who asks.
+type Caller struct {
+	// FailureDomain is the caller's own, or empty if it is not known.
+	FailureDomain string
+	// Token spreads callers: each token gets one order of the homes that are equally near. Take a random number
+	// where the caller has no lasting name.
+	Token uint64
+}
+
+// Answer returns the addresses for a caller of the service: the homes of its groups, nearest first and spread in
+// proportion to the groups' slots, then other usable VMs. Leaving VMs are left out unless no other is live.
+func Answer(d *declaration.Declaration, service string, live []member.Member, c Caller, now time.Time) (Addresses, error) {
+	s := d.Service(service)
+	if s == nil {
+		return Addresses{}, errors.Wrapf(ErrNoService, "%q", service)
+	}
+	var list []Address
+	add := func(m member.Member) {
+		if len(list) < maxAddresses && m.Address != "" &&
+			!slices.ContainsFunc(list, func(a Address) bool { return a.Name == m.Name }) {
+			list = append(list, Address{m.Name, m.Address, m.Incarnation, m.FailureDomain})
+		}
+	}
+	for _, m := range homes(d, s, live, c) {
+		add(m)
+	}
+	for _, m := range fallbacks(live, list, c) {
+		add(m)
+	}
+	if len(list) == 0 {
+		return Addresses{}, errors.Wrapf(ErrNoVM, "for service %q", service)
+	}
+	return Addresses{Lifetime: d.AddressLifetime, Now: now, List: list}, nil
+}
+
+// homes returns the first homes of the service's groups, in the order for the caller.
+func homes(d *declaration.Declaration, s *declaration.Service, live []member.Member, c Caller) []member.Member {
+	type ranked struct {
+		home     member.Member
+		distance int
+		score    float64
+	}
+	var all []ranked
+	for _, g := range home.Groups(d, s) {
+		order := home.Order(g, d, live)
+		if len(order) == 0 {
+			continue
+		}
+		all = append(all, ranked{order[0], distance(d, c.FailureDomain, g), weighted(c.Token, g.ID, g.Slots())})
+	}
+	slices.SortStableFunc(all, func(a, b ranked) int {
+		if n := cmp.Compare(a.distance, b.distance); n != 0 {
+			return n
+		}
+		return cmp.Compare(a.score, b.score)
+	})
+	ordered := make([]member.Member, len(all))
+	for i, r := range all {
+		ordered[i] = r.home
+	}
+	return ordered
+}
+
+// distance ranks a group for a caller: 0 in its failure domain, 1 in its region, 2 elsewhere or unknown.
+func distance(d *declaration.Declaration, domain string, g home.Group) int {
+	switch {
+	case domain == "":
+		return 2
+	case domain == g.FailureDomain:
+		return 0
+	case home.Region(d, domain) != "" && home.Region(d, domain) == g.Region:
+		return 1
+	}
+	return 2
+}
+
+// weighted returns an exponential variate with the rate slots, drawn by hash. The group with the least variate comes
+// first, which happens with a probability in proportion to its slots. Groups without slots come last.
+func weighted(token uint64, id string, slots int) float64 {
+	if slots <= 0 {
+		return math.Inf(1)
+	}
+	return -math.Log(uniform(token, id)) / float64(slots)
+}
+
+// uniform returns a number above 0 and at most 1 that depends on token and id only.
+func uniform(token uint64, id string) float64 {
+	var h xxhash.Digest
+	h.ResetWithSeed(token)
+	_, _ = h.WriteString(id)
+	return (float64(h.Sum64()>>11) + 1) / (1 << 53)
+}
+
+// fallbacks returns all other VMs in an order by token: usable ones of failure domains that the list lacks first, so
+// that the loss of one failure domain leaves the caller an address, then usable ones, then leaving ones if the list
+// would be empty otherwise.
+func fallbacks(live []member.Member, list []Address, c Caller) []member.Member {
+	rank := func(m member.Member) int {
+		switch {
+		case !m.Usable():
+			return 2
+		case slices.ContainsFunc(list, func(a Address) bool { return a.FailureDomain == m.FailureDomain }):
+			return 1
+		}
+		return 0
+	}
+	usable := slices.DeleteFunc(slices.Clone(live), func(m member.Member) bool { return !m.Usable() })
+	if len(usable) == 0 && len(list) == 0 {
+		usable = slices.Clone(live)
+	}
+	slices.SortStableFunc(usable, func(a, b member.Member) int {
+		if n := cmp.Compare(rank(a), rank(b)); n != 0 {
+			return n
+		}
+		return cmp.Compare(uniform(c.Token, a.Name), uniform(c.Token, b.Name))
+	})
+	return usable
+}
