--- /dev/null
+++ b/gossip/log.go
@@ -0,0 +1,252 @@
+package gossip
+
+import (
+	"encoding/binary"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fulmarhitch/fulmarhitch/member"
+	"github.com/fulmarhitch/fulmarhitch/peerpb"
+)
+
+const (
+	// buckets is the number of parts of the state that a comparison tells apart; their digests take 512 bytes.
+	buckets = 64
+	// maxUpstreams and maxSuspects bound the log; the design's fleet has 3,000 upstreams.
+	maxUpstreams = 8192
+	maxSuspects  = 4096
+	// suspectLife is how long a death counts against a fingerprint.
+	suspectLife = time.Minute
+)
+
+type deathKey struct {
+	fingerprint, death uint64
+}
+
+type upstreamKey struct {
+	service, upstream string
+}
+
+type upstreamState struct {
+	event   *peerpb.UpstreamEvent
+	learned time.Time
+}
+
+// eventLog is the state that events other than member events add up to.
+type eventLog struct {
+	upstreams  map[upstreamKey]upstreamState
+	deaths     map[deathKey]time.Time // time of death
+	generation uint64
+	holder     string
+}
+
+func newLog() *eventLog {
+	return &eventLog{upstreams: make(map[upstreamKey]upstreamState), deaths: make(map[deathKey]time.Time)}
+}
+
+// applyUpstream takes over the event if it is later than what is known.
+func (l *eventLog) applyUpstream(e *peerpb.UpstreamEvent, now time.Time) bool {
+	k := upstreamKey{e.GetService(), e.GetUpstream()}
+	known, ok := l.upstreams[k]
+	if ok && !laterUpstream(e, known.event) {
+		return false
+	}
+	if !ok && len(l.upstreams) >= maxUpstreams {
+		l.evictUpstream()
+	}
+	l.upstreams[k] = upstreamState{e, now}
+	return true
+}
+
+// laterUpstream orders the states of one upstream by version. Two observers may take the same version at once; then
+// the state that gives the upstream less work wins, so that a drain is never undone by a tie.
+func laterUpstream(a, b *peerpb.UpstreamEvent) bool {
+	if a.GetVersion() != b.GetVersion() {
+		return a.GetVersion() > b.GetVersion()
+	}
+	if ra, rb := rank(a.GetState()), rank(b.GetState()); ra != rb {
+		return ra > rb
+	}
+	return a.GetObserver() > b.GetObserver()
+}
+
+func rank(s peerpb.UpstreamEvent_State) int {
+	switch s {
+	case peerpb.UpstreamEvent_STATE_READY:
+		return 1
+	case peerpb.UpstreamEvent_STATE_COLD:
+		return 2
+	case peerpb.UpstreamEvent_STATE_EJECTED:
+		return 3
+	case peerpb.UpstreamEvent_STATE_DRAINING:
+		return 4
+	}
+	return 0
+}
+
+// evictUpstream forgets the upstream whose last event is oldest.
+func (l *eventLog) evictUpstream() {
+	var oldest upstreamKey
+	var at time.Time
+	for k, s := range l.upstreams {
+		if at.IsZero() || s.learned.Before(at) {
+			oldest, at = k, s.learned
+		}
+	}
+	delete(l.upstreams, oldest)
+}
+
+// applySuspect counts each pair of fingerprint and death once while it lives.
+func (l *eventLog) applySuspect(e *peerpb.SuspectEvent, now time.Time) bool {
+	age := time.Duration(e.GetAgeMs()) * time.Millisecond
+	k := deathKey{e.GetFingerprint(), e.GetDeath()}
+	if _, ok := l.deaths[k]; ok || age >= suspectLife || len(l.deaths) >= maxSuspects {
+		return false
+	}
+	l.deaths[k] = now.Add(-age)
+	return true
+}
+
+func (l *eventLog) applyGeneration(e *peerpb.GenerationEvent) bool {
+	if e.GetGeneration() <= l.generation {
+		return false
+	}
+	l.generation, l.holder = e.GetGeneration(), e.GetHolder()
+	return true
+}
+
+// expire forgets old deaths.
+func (l *eventLog) expire(now time.Time) {
+	for k, at := range l.deaths {
+		if now.Sub(at) >= suspectLife {
+			delete(l.deaths, k)
+		}
+	}
+}
+
+// events returns the whole state.
+func (l *eventLog) events(now time.Time) []*peerpb.Event {
+	var all []*peerpb.Event
+	for _, s := range l.upstreams {
+		all = append(all, upstreamEvent(s.event))
+	}
+	for k, at := range l.deaths {
+		all = append(all, suspectEvent(k, now.Sub(at)))
+	}
+	if l.generation > 0 {
+		all = append(all, generationEvent(l.generation, l.holder))
+	}
+	return all
+}
+
+func upstreamEvent(e *peerpb.UpstreamEvent) *peerpb.Event {
+	return &peerpb.Event{Kind: &peerpb.Event_Upstream{Upstream: e}}
+}
+
+func suspectEvent(k deathKey, age time.Duration) *peerpb.Event {
+	return &peerpb.Event{Kind: &peerpb.Event_Suspect{Suspect: &peerpb.SuspectEvent{
+		Fingerprint: k.fingerprint, Death: k.death, AgeMs: uint32(max(0, age.Milliseconds())),
+	}}}
+}
+
+func generationEvent(n uint64, holder string) *peerpb.Event {
+	return &peerpb.Event{Kind: &peerpb.Event_Generation{Generation: &peerpb.GenerationEvent{Generation: n, Holder: holder}}}
+}
+
+func memberEvent(m member.Member) *peerpb.Event {
+	e := &peerpb.MemberEvent{
+		Name: m.Name, Incarnation: m.Incarnation, Address: m.Address, PeerAddress: m.PeerAddress,
+		FailureDomain: m.FailureDomain, Counter: m.Counter,
+	}
+	switch m.State {
+	case member.Alive:
+		e.State = peerpb.MemberEvent_STATE_ALIVE
+	case member.Leaving:
+		e.State = peerpb.MemberEvent_STATE_LEAVING
+	case member.Suspect:
+		e.State = peerpb.MemberEvent_STATE_SUSPECT
+	case member.Dead:
+		e.State = peerpb.MemberEvent_STATE_DEAD
+	case member.Candidate:
+	}
+	return &peerpb.Event{Kind: &peerpb.Event_Member{Member: e}}
+}
+
+func memberOf(e *peerpb.MemberEvent) member.Member {
+	m := member.Member{
+		Name: e.GetName(), Incarnation: e.GetIncarnation(), Address: e.GetAddress(), PeerAddress: e.GetPeerAddress(),
+		FailureDomain: e.GetFailureDomain(), Counter: e.GetCounter(),
+	}
+	switch e.GetState() {
+	case peerpb.MemberEvent_STATE_ALIVE:
+		m.State = member.Alive
+	case peerpb.MemberEvent_STATE_LEAVING:
+		m.State = member.Leaving
+	case peerpb.MemberEvent_STATE_SUSPECT:
+		m.State = member.Suspect
+	case peerpb.MemberEvent_STATE_DEAD:
+		m.State = member.Dead
+	}
+	return m
+}
+
+// keyOf returns what the event is about; a later event replaces an earlier one with the same key.
+func keyOf(e *peerpb.Event) string {
+	switch k := e.GetKind().(type) {
+	case *peerpb.Event_Member:
+		return "m" + k.Member.GetName()
+	case *peerpb.Event_Upstream:
+		return "u" + k.Upstream.GetService() + "\x00" + k.Upstream.GetUpstream()
+	case *peerpb.Event_Suspect:
+		b := binary.BigEndian.AppendUint64([]byte("s"), k.Suspect.GetFingerprint())
+		return string(binary.BigEndian.AppendUint64(b, k.Suspect.GetDeath()))
+	}
+	return "g"
+}
+
+func bucketOf(key string) int {
+	return int(xxhash.Sum64String(key) % buckets)
+}
+
+// versionOf returns a hash of the event's key and order. The age of a suspect and the holder of a generation differ
+// between VMs and are left out.
+func versionOf(e *peerpb.Event) uint64 {
+	b := append([]byte(keyOf(e)), 0)
+	switch k := e.GetKind().(type) {
+	case *peerpb.Event_Member:
+		b = append(b, k.Member.GetIncarnation()...)
+		b = binary.BigEndian.AppendUint64(b, k.Member.GetCounter())
+		b = append(b, byte(k.Member.GetState()))
+	case *peerpb.Event_Upstream:
+		b = append(b, k.Upstream.GetObserver()...)
+		b = binary.BigEndian.AppendUint64(b, k.Upstream.GetVersion())
+		b = append(b, byte(k.Upstream.GetState()))
+	case *peerpb.Event_Generation:
+		b = binary.BigEndian.AppendUint64(b, k.Generation.GetGeneration())
+	}
+	return xxhash.Sum64(b)
+}
+
+// digest returns a digest for each bucket, which does not depend on the order of the events.
+func digest(events []*peerpb.Event) []uint64 {
+	d := make([]uint64, buckets)
+	for _, e := range events {
+		d[bucketOf(keyOf(e))] ^= versionOf(e)
+	}
+	return d
+}
+
+// inBuckets returns the events of the numbered buckets, sorted by key.
+func inBuckets(events []*peerpb.Event, numbers []uint32) []*peerpb.Event {
+	var found []*peerpb.Event
+	for _, e := range events {
+		if slices.Contains(numbers, uint32(bucketOf(keyOf(e)))) {
+			found = append(found, e)
+		}
+	}
+	slices.SortFunc(found, func(a, b *peerpb.Event) int { return strings.Compare(keyOf(a), keyOf(b)) })
+	return found
+}
--- a/member/table.go
+++ b/member/table.go
@@ -68,6 +68,7 @@
 		if len(t.entries) >= maxEntries {
 			return nil
 		}
+		t.dropCandidates(m.PeerAddress)
 		e = &entry{}
 		t.entries[m.Name] = e
 	} else if !newer(m, e.Member) {
@@ -82,6 +83,15 @@
 	return []Member{m}
 }
 
+// dropCandidates removes candidates with the peer address, which is now known under the member's own name.
+func (t *Table) dropCandidates(peerAddress string) {
+	for name, e := range t.entries {
+		if e.State == Candidate && e.PeerAddress == peerAddress {
+			delete(t.entries, name)
+		}
+	}
+}
+
 // applySelf refutes news of the own incarnation and settles which incarnation holds the name.
 func (t *Table) applySelf(m Member, now time.Time) []Member {
 	if t.replaced {
@@ -141,7 +151,7 @@
 		}
 		e, ok := t.entries[l.Name]
 		if !ok {
-			if len(t.entries) >= maxEntries {
+			if len(t.entries) >= maxEntries || t.Addressed(l.PeerAddress) {
 				continue
 			}
 			e = &entry{}
@@ -250,6 +260,11 @@
 	return all[:min(n, len(all))]
 }
 
+// Others returns the number of other VMs that the table knows, candidates and dead ones included.
+func (t *Table) Others() int {
+	return len(t.entries)
+}
+
 // Live returns the members that may be alive, with self and with leaving ones, sorted by name.
 func (t *Table) Live() []Member {
 	live := []Member{t.self}
