peer: use the client connections of net/http

golang.org/x/net/http2 marks its transport as deprecated, which staticcheck refuses; net/http has offered single HTTP/2 connections since Go 1.26.

--- a/peer/pool.go
+++ b/peer/pool.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
-	"golang.org/x/net/http2"
 
 	"github.com/fulmarhitch/fulmarhitch/peerpb/peerpbconnect"
 )
@@ -18,10 +18,10 @@
 	address   string
 	options   Options
 	client    peerpbconnect.PeerClient
-	transport *http2.Transport
+	transport *http.Transport
 
 	mu     sync.Mutex
-	conns  []*http2.ClientConn
+	conns  []*http.ClientConn
 	next   int
 	dial   *dial // in progress
 	ctx    context.Context
@@ -36,19 +36,24 @@
 
 func newPool(address string, o Options) *pool {
 	ctx, cancel := context.WithCancel(context.Background())
+	var protocols http.Protocols
+	protocols.SetUnencryptedHTTP2(true)
 	return &pool{
 		address: address,
 		options: o,
 		client: peerpbconnect.NewPeerClient(carrier{}, "http://"+address,
 			connect.WithReadMaxBytes(o.MaxMessage), connect.WithSendMaxBytes(o.MaxMessage),
 			connect.WithAcceptCompression("gzip", nil, nil)),
-		transport: &http2.Transport{
-			AllowHTTP:          true,
+		transport: &http.Transport{
+			DialContext:        (&net.Dialer{Timeout: o.DialTimeout, KeepAlive: 15 * time.Second}).DialContext,
+			Protocols:          &protocols,
 			DisableCompression: true,
-			ReadIdleTimeout:    o.KeepAlive,
-			PingTimeout:        o.KeepAlive,
-			// A peer that stops reading must not hold writers longer than a keep-alive ping would.
-			WriteByteTimeout: 2 * o.KeepAlive,
+			HTTP2: &http.HTTP2Config{
+				SendPingTimeout: o.KeepAlive,
+				PingTimeout:     o.KeepAlive,
+				// A peer that stops reading must not hold writers longer than a keep-alive ping would.
+				WriteByteTimeout: 2 * o.KeepAlive,
+			},
 		},
 		ctx: ctx, cancel: cancel,
 	}
@@ -56,7 +61,7 @@
 
 // take returns a connection with a stream reserved on it. It dials while there are fewer connections than wanted, and
 // waits for the dial only if there is none at all.
-func (p *pool) take(ctx context.Context) (*http2.ClientConn, error) {
+func (p *pool) take(ctx context.Context) (*http.ClientConn, error) {
 	for {
 		if err := ctx.Err(); err != nil {
 			return nil, err
@@ -77,16 +82,16 @@
 }
 
 // pick returns a usable connection, or the dial to wait for.
-func (p *pool) pick() (*http2.ClientConn, *dial, error) {
+func (p *pool) pick() (*http.ClientConn, *dial, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.ctx.Err() != nil {
 		return nil, nil, errors.New("connections are closed")
 	}
-	var found *http2.ClientConn
+	var found *http.ClientConn
 	usable := p.conns[:0]
 	for _, c := range p.conns {
-		if s := c.State(); !s.Closed && !s.Closing {
+		if c.Err() == nil {
 			usable = append(usable, c)
 		}
 	}
@@ -94,7 +99,7 @@
 	p.conns = usable
 	for range p.conns {
 		p.next++
-		if c := p.conns[p.next%len(p.conns)]; c.ReserveNewRequest() {
+		if c := p.conns[p.next%len(p.conns)]; c.Reserve() == nil {
 			found = c
 			break
 		}
@@ -111,11 +116,7 @@
 func (p *pool) connect(d *dial) {
 	ctx, cancel := context.WithTimeout(p.ctx, p.options.DialTimeout)
 	defer cancel()
-	var conn *http2.ClientConn
-	raw, err := (&net.Dialer{KeepAlive: 15 * time.Second}).DialContext(ctx, "tcp", p.address)
-	if err == nil {
-		conn, err = p.transport.NewClientConn(raw)
-	}
+	conn, err := p.transport.NewClientConn(ctx, "http", p.address)
 	p.mu.Lock()
 	p.dial = nil
 	if conn != nil {
