--- a/peer/client.go
+++ b/peer/client.go
@@ -130,23 +130,36 @@
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "peer: dial %s", address), ErrUnsent)
 	}
-	res, err := method(p.client, context.WithValue(ctx, connKey{}, conn), connect.NewRequest(m))
+	k := &carriage{conn: conn}
+	res, err := method(p.client, context.WithValue(ctx, carriageKey{}, k), connect.NewRequest(m))
+	if !k.used {
+		// The message could not be encoded or exceeds its bound.
+		conn.Release()
+		return nil, errors.Mark(errors.Wrapf(err, "peer: call %s", address), ErrUnsent)
+	}
 	if err != nil {
 		return nil, errors.Wrapf(err, "peer: call %s", address)
 	}
 	return res.Msg, nil
 }
 
-// connKey is the context key of the connection that a call uses.
-type connKey struct{}
+// carriage is the reserved connection of one call, in the call's context.
+type carriage struct {
+	conn *http.ClientConn
+	used bool
+}
+
+// carriageKey is the context key of a *carriage.
+type carriageKey struct{}
 
 // carrier sends a request on the connection of its context. It never sends one twice.
 type carrier struct{}
 
 func (carrier) Do(r *http.Request) (*http.Response, error) {
-	t, ok := r.Context().Value(connKey{}).(http.RoundTripper)
-	if !ok {
+	k, ok := r.Context().Value(carriageKey{}).(*carriage)
+	if !ok || k.used {
 		return nil, errors.New("peer: no connection in the context")
 	}
-	return t.RoundTrip(r)
+	k.used = true
+	return k.conn.RoundTrip(r)
 }
