Add queue, upstream, pool, budget and dispatch

A home needs one queue and exact counts for its group. queue orders by weight, then earliest deadline, and drops what can't meet its deadline; upstream and pool choose a free slot; budget bounds retries; dispatch.Core joins them without I/O and dispatch.Dispatcher runs a Core in a goroutine.

--- /dev/null
+++ b/budget/budget.go
@@ -0,0 +1,38 @@
+package budget
+
+// Burst is the largest number of retries that a budget saves up. It lets a group retry the requests of one failed
+// upstream at once and is small against a second of offered load.
+const Burst = 20
+
+// Budget counts tokens for retries: each offered request adds the ratio, each retry takes one.
+type Budget struct {
+	ratio, tokens float64
+}
+
+// New returns an empty budget with the ratio of retries to offered requests, limited to 0 to 0.2.
+func New(ratio float64) *Budget {
+	b := &Budget{}
+	b.SetRatio(ratio)
+	return b
+}
+
+// SetRatio changes the ratio and keeps the tokens.
+func (b *Budget) SetRatio(ratio float64) {
+	b.ratio = min(max(ratio, 0), 0.2)
+}
+
+// Offer counts a request that is not a retry.
+func (b *Budget) Offer() {
+	b.tokens = min(b.tokens+b.ratio, Burst)
+}
+
+// Take pays for a retry and returns false if the budget does not cover it.
+func (b *Budget) Take() bool {
+	// Sums of ratios such as 0.2 fall short of whole tokens by rounding.
+	const rounding = 1e-9
+	if b.tokens < 1-rounding {
+		return false
+	}
+	b.tokens = max(b.tokens-1, 0)
+	return true
+}
--- /dev/null
+++ b/dispatch/core.go
@@ -0,0 +1,235 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/fulmarhitch/fulmarhitch/budget"
+	"github.com/fulmarhitch/fulmarhitch/declaration"
+	"github.com/fulmarhitch/fulmarhitch/outcome"
+	"github.com/fulmarhitch/fulmarhitch/pool"
+	"github.com/fulmarhitch/fulmarhitch/queue"
+	"github.com/fulmarhitch/fulmarhitch/upstream"
+)
+
+// DefaultLinkDelay is the one-way delay assumed between homes of different failure domains.
+const DefaultLinkDelay = 5 * time.Millisecond
+
+// Waiter is a ticket that a Core decides about. It is used for one decision.
+type Waiter struct {
+	Ticket Ticket
+	// Value belongs to the caller.
+	Value any
+
+	item queue.Item
+}
+
+// Lanes of a waiter in the queue are sums of these; waiters of a lane are blocked together.
+const (
+	laneLong = 1 << iota
+	laneStay
+	laneSpecial
+)
+
+// Core decides about the requests of one group. It does no I/O and is not safe for concurrent use. The times passed
+// must not decrease. A Core calls grant for each waiter exactly once; grant returns false if the waiter gave up.
+type Core struct {
+	queue   *queue.Queue
+	pool    *pool.Pool
+	budget  *budget.Budget
+	remotes map[string]*remote
+	order   []string
+	delay   time.Duration
+	grant   func(*Waiter, Grant) bool
+}
+
+// NewCore returns a Core without upstreams. linkDelay is the one-way delay to other homes, or 0 for
+// DefaultLinkDelay.
+func NewCore(linkDelay time.Duration, random *rand.Rand, grant func(*Waiter, Grant) bool) *Core {
+	if linkDelay <= 0 {
+		linkDelay = DefaultLinkDelay
+	}
+	return &Core{
+		queue:   queue.New(1),
+		pool:    pool.New(random),
+		budget:  budget.New(0),
+		remotes: make(map[string]*remote),
+		delay:   linkDelay,
+		grant:   grant,
+	}
+}
+
+// Update sets the service's rules and the group's upstreams.
+func (c *Core) Update(svc declaration.Service, ups []declaration.Upstream, now time.Time) {
+	for _, it := range c.queue.SetLimit(svc.QueueLength) {
+		c.refuse(it, outcome.QueueFull)
+	}
+	c.budget.SetRatio(svc.RetryRatio)
+	c.pool.SetLongShare(svc.LongShare)
+	c.pool.Update(ups, now)
+	c.settle(now)
+}
+
+// Arrive decides about the waiter at once or lets it wait.
+func (c *Core) Arrive(w *Waiter, now time.Time) {
+	t := &w.Ticket
+	switch {
+	case t.Retry && !c.budget.Take():
+		c.grant(w, Refused{Reason: outcome.Refused})
+		return
+	case !t.Retry && t.Enqueued.IsZero():
+		c.budget.Offer()
+	}
+	if t.Enqueued.IsZero() {
+		t.Enqueued = now
+	}
+	w.item = queue.Item{Request: t.Request, Enqueued: t.Enqueued, Lane: lane(t), Value: w}
+	if displaced := c.queue.Push(&w.item); displaced != nil {
+		c.refuse(displaced, outcome.QueueFull)
+	}
+	c.settle(now)
+	switch {
+	case t.NoWait && c.queue.Remove(&w.item):
+		c.grant(w, Refused{Reason: outcome.NoFreeSlot})
+	case !c.pool.Usable() && c.queue.Remove(&w.item):
+		c.grant(w, Refused{Reason: outcome.NoUpstream})
+	}
+}
+
+// Withdraw removes a waiter that gave up.
+func (c *Core) Withdraw(w *Waiter) {
+	c.queue.Remove(&w.item)
+}
+
+// Release gives a slot back.
+func (c *Core) Release(b Bound, res Result, now time.Time) {
+	service := res.ServiceTime
+	if service <= 0 {
+		service = now.Sub(b.granted)
+	}
+	c.pool.Release(b.slot, res.Class, service, now)
+	c.pool.Hear(b.slot, res.State)
+	c.settle(now)
+}
+
+// Return ends a spill; refused tells that the other home ran nothing because it had no free slot. Its group is then
+// not tried again until a new report, so the report of the same response has to follow, not precede.
+func (c *Core) Return(s Spill, refused bool, now time.Time) {
+	if r := c.remotes[s.Group]; r != nil {
+		r.end(s.sent, refused)
+	}
+	c.settle(now)
+}
+
+// Observe takes a statement about an upstream from a peer or a probe.
+func (c *Core) Observe(name string, state State, now time.Time) {
+	c.pool.Observe(name, state, now)
+	c.settle(now)
+}
+
+// Report takes the load of another group's home; at is the time at which the report was made, by this VM's clock.
+func (c *Core) Report(group string, free, waiting int, at, now time.Time) {
+	r := c.remotes[group]
+	if r == nil {
+		r = &remote{}
+		c.remotes[group] = r
+		c.order = append(c.order, group)
+	}
+	r.report(free, waiting, at)
+	c.settle(now)
+}
+
+// Tick does what is due because time has passed.
+func (c *Core) Tick(now time.Time) { c.settle(now) }
+
+// Next returns the time at which Tick is due; ok is false if there is none.
+func (c *Core) Next() (next time.Time, ok bool) {
+	next, ok = c.pool.Next()
+	if deadline, some := c.queue.Earliest(); some {
+		// A request is dropped once its deadline can't be met, hence just after the last chance.
+		if t := deadline.Add(time.Microsecond - c.pool.Mean()); !ok || t.Before(next) {
+			next, ok = t, true
+		}
+	}
+	return next, ok
+}
+
+// Load returns the free slots and the number of waiting requests.
+func (c *Core) Load(now time.Time) (free, waiting int) {
+	return c.pool.Free(now), c.queue.Len()
+}
+
+// settle binds waiting requests to free slots, drops expired ones and spills what has to wait.
+func (c *Core) settle(now time.Time) {
+	if c.queue.Len() == 0 {
+		return
+	}
+	for {
+		var slot pool.Slot
+		next, expired := c.queue.Pop(now, c.pool.Mean(), func(it *queue.Item) (ok bool) {
+			t := &it.Value.(*Waiter).Ticket
+			slot, ok = c.pool.Acquire(t.Request, t.Exclude, t.Suspect, now)
+			return ok
+		})
+		for _, it := range expired {
+			c.refuse(it, outcome.DeadlineUnreachable)
+		}
+		if next == nil {
+			break
+		}
+		if !c.grant(next.Value.(*Waiter), Bound{Upstream: slot.Upstream, slot: slot, granted: now}) {
+			c.pool.Release(slot, upstream.Cancelled, 0, now)
+		}
+	}
+	c.spill(now)
+}
+
+// spill sends waiting requests to groups that have free slots.
+func (c *Core) spill(now time.Time) {
+	for c.queue.Len() > 0 {
+		group, r := c.target()
+		if r == nil {
+			return
+		}
+		latest := now.Add(2*c.delay + c.pool.Mean())
+		next, _ := c.queue.Pop(now, 0, func(it *queue.Item) bool {
+			t := &it.Value.(*Waiter).Ticket
+			return !t.NoSpill && !t.NoWait && !latest.After(t.Request.Deadline)
+		})
+		if next == nil {
+			return
+		}
+		if c.grant(next.Value.(*Waiter), Spill{Group: group, sent: now}) {
+			r.sent = append(r.sent, now)
+		}
+	}
+}
+
+// target returns the group with the most free slots that own spills have not taken, or nil.
+func (c *Core) target() (group string, best *remote) {
+	most := 0
+	for _, g := range c.order {
+		if n := c.remotes[g].estimate(c.delay); n > most {
+			group, best, most = g, c.remotes[g], n
+		}
+	}
+	return group, best
+}
+
+func (c *Core) refuse(it *queue.Item, reason outcome.Reason) {
+	c.grant(it.Value.(*Waiter), Refused{Reason: reason})
+}
+
+func lane(t *Ticket) int {
+	n := 0
+	if t.Request.Long {
+		n |= laneLong
+	}
+	if t.NoSpill || t.NoWait {
+		n |= laneStay
+	}
+	if t.Suspect || t.Exclude != "" {
+		n |= laneSpecial
+	}
+	return n
+}
--- /dev/null
+++ b/dispatch/dispatch_test.go
@@ -0,0 +1,143 @@
+package dispatch_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/goleak"
+
+	"github.com/fulmarhitch/fulmarhitch/declaration"
+	"github.com/fulmarhitch/fulmarhitch/dispatch"
+	"github.com/fulmarhitch/fulmarhitch/outcome"
+	"github.com/fulmarhitch/fulmarhitch/request"
+)
+
+const ms = time.Millisecond
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// start runs a dispatcher with upstreams of one slot each until stop is called.
+func start(upstreams int) (d *dispatch.Dispatcher, stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wait sync.WaitGroup
+	d = dispatch.New("roses/east", dispatch.Options{Seed: 1})
+	wait.Go(func() { _ = d.Run(ctx) })
+	var ups []declaration.Upstream
+	for i := range upstreams {
+		ups = append(ups, declaration.Upstream{Name: fmt.Sprint("u", i), Slots: 1})
+	}
+	d.Update(declaration.Service{QueueLength: 100, RetryRatio: 0.2, LongShare: 0.5}, ups)
+	return d, func() { cancel(); wait.Wait() }
+}
+
+func ticket(left time.Duration) dispatch.Ticket {
+	return dispatch.Ticket{Request: &request.Request{Idempotent: true, Deadline: time.Now().Add(left)}}
+}
+
+// TestGrants guards against late drops, spills that another group can't take and slots lost to callers that gave up.
+func TestGrants(t *testing.T) {
+	for name, check := range map[string]func(ctx context.Context, d *dispatch.Dispatcher, held dispatch.Bound){
+		"a request is dropped when its deadline can't be met": func(ctx context.Context, d *dispatch.Dispatcher, _ dispatch.Bound) {
+			began := time.Now()
+			So(d.Acquire(ctx, ticket(50*ms)), ShouldResemble, dispatch.Refused{Reason: outcome.DeadlineUnreachable})
+			So(time.Since(began), ShouldAlmostEqual, 40*ms, ms)
+		},
+		"a spilled request does not wait": func(ctx context.Context, d *dispatch.Dispatcher, _ dispatch.Bound) {
+			k := ticket(time.Second)
+			k.NoWait = true
+			So(d.Acquire(ctx, k), ShouldResemble, dispatch.Refused{Reason: outcome.NoFreeSlot})
+		},
+		"a retry without budget is refused": func(ctx context.Context, d *dispatch.Dispatcher, _ dispatch.Bound) {
+			k := ticket(time.Second)
+			k.Retry = true
+			So(d.Acquire(ctx, k), ShouldResemble, dispatch.Refused{Reason: outcome.Refused})
+		},
+		"spills take the reported slots only": func(ctx context.Context, d *dispatch.Dispatcher, held dispatch.Bound) {
+			d.Report("roses/west", 1, 0, time.Now())
+			s, ok := d.Acquire(ctx, ticket(time.Second)).(dispatch.Spill)
+			So(ok, ShouldBeTrue)
+			So(s.Group, ShouldEqual, "roses/west")
+			d.Return(s, true)
+			time.AfterFunc(20*ms, func() { d.Release(held, dispatch.Result{}) })
+			So(d.Acquire(ctx, ticket(time.Second)), ShouldHaveSameTypeAs, dispatch.Bound{})
+		},
+		"a spill needs time for the link": func(ctx context.Context, d *dispatch.Dispatcher, _ dispatch.Bound) {
+			d.Report("roses/west", 1, 0, time.Now())
+			So(d.Acquire(ctx, ticket(15*ms)), ShouldHaveSameTypeAs, dispatch.Refused{})
+		},
+		"a withdrawn request takes no slot": func(ctx context.Context, d *dispatch.Dispatcher, held dispatch.Bound) {
+			short, cancel := context.WithTimeout(ctx, 10*ms)
+			defer cancel()
+			So(d.Acquire(short, ticket(time.Second)), ShouldHaveSameTypeAs, dispatch.Refused{})
+			synctest.Wait()
+			_, waiting := d.Load()
+			So(waiting, ShouldEqual, 0)
+			d.Release(held, dispatch.Result{})
+			synctest.Wait()
+			free, _ := d.Load()
+			So(free, ShouldEqual, 1)
+		},
+		"a failed request's slot becomes free without an event": func(ctx context.Context, d *dispatch.Dispatcher, held dispatch.Bound) {
+			began := time.Now()
+			d.Release(held, dispatch.Result{Class: 1})
+			So(d.Acquire(ctx, ticket(time.Second)), ShouldHaveSameTypeAs, dispatch.Bound{})
+			So(time.Since(began), ShouldEqual, 10*ms)
+		},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			Convey(name, t, func() {
+				d, stop := start(1)
+				defer stop()
+				synctest.Wait()
+				held, ok := d.Acquire(t.Context(), ticket(time.Second)).(dispatch.Bound)
+				So(ok, ShouldBeTrue)
+				check(t.Context(), d, held)
+			})
+		})
+	}
+}
+
+// TestGiveUp guards against slots lost or given twice when callers give up at the moment of the grant.
+func TestGiveUp(t *testing.T) {
+	Convey("all slots are free after many callers gave up", t, func() {
+		d, stop := start(4)
+		defer stop()
+		var wait sync.WaitGroup
+		for i := range 400 {
+			wait.Go(func() {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Duration(i%40)*50*time.Microsecond)
+				defer cancel()
+				if b, ok := d.Acquire(ctx, ticket(time.Minute)).(dispatch.Bound); ok {
+					time.Sleep(200 * time.Microsecond)
+					d.Release(b, dispatch.Result{})
+				}
+			})
+		}
+		wait.Wait()
+		free, waiting := 0, 0
+		for range 1000 {
+			if free, waiting = d.Load(); free == 4 && waiting == 0 {
+				break
+			}
+			time.Sleep(ms)
+		}
+		So(free, ShouldEqual, 4)
+		So(waiting, ShouldEqual, 0)
+	})
+}
+
+// BenchmarkAcquire measures Acquire and Release of callers that find a free slot.
+func BenchmarkAcquire(b *testing.B) {
+	d, stop := start(20)
+	defer stop()
+	k := ticket(time.Hour)
+	b.ReportAllocs()
+	for b.Loop() {
+		d.Release(d.Acquire(b.Context(), k).(dispatch.Bound), dispatch.Result{})
+	}
+}
--- /dev/null
+++ b/dispatch/dispatcher.go
@@ -0,0 +1,192 @@
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/fulmarhitch/fulmarhitch/declaration"
+	"github.com/fulmarhitch/fulmarhitch/outcome"
+	"github.com/fulmarhitch/fulmarhitch/ring"
+	"github.com/fulmarhitch/fulmarhitch/upstream"
+)
+
+// ringSize bounds the events that wait for a dispatcher. Callers block when a ring is full.
+const ringSize = 1024
+
+// Options are the settings of a Dispatcher; the zero value is usable.
+type Options struct {
+	// LinkDelay is the one-way delay to other homes; 0 stands for DefaultLinkDelay.
+	LinkDelay time.Duration
+	// Seed sets the random numbers that break ties and jitter back-offs.
+	Seed uint64
+}
+
+// Dispatcher is the duty of the home of one group. Its methods are safe for concurrent use.
+type Dispatcher struct {
+	group    string
+	core     *Core
+	arrivals *ring.Ring[*Waiter]
+	releases *ring.Ring[release]
+	controls *ring.Ring[func(now time.Time)]
+	done     chan struct{}
+	// load holds the free slots in the high and the waiting requests in the low 32 bits.
+	load atomic.Uint64
+}
+
+type release struct {
+	bound  Bound
+	result Result
+}
+
+// call is a caller that waits in Acquire.
+type call struct {
+	state atomic.Int32
+	grant chan Grant
+}
+
+// States of a call. Dispatcher and caller both try to leave pending, and exactly one succeeds.
+const (
+	pending int32 = iota
+	decided
+	withdrawn
+)
+
+// New returns a dispatcher for the group; Run has to be called once.
+func New(group string, o Options) *Dispatcher {
+	d := &Dispatcher{
+		group:    group,
+		arrivals: ring.New[*Waiter](ringSize),
+		releases: ring.New[release](ringSize),
+		controls: ring.New[func(time.Time)](ringSize),
+		done:     make(chan struct{}),
+	}
+	random := rand.New(rand.NewPCG(o.Seed, xxhash.Sum64String(group)))
+	d.core = NewCore(o.LinkDelay, random, deliver)
+	return d
+}
+
+// Group returns the identifier of the group.
+func (d *Dispatcher) Group() string { return d.group }
+
+// Run makes the decisions until ctx is done and returns its error. Calls of Acquire that still wait are then refused.
+func (d *Dispatcher) Run(ctx context.Context) error {
+	defer close(d.done)
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	var armed time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "dispatch: group %s", d.group)
+		case w := <-d.arrivals.Items():
+			if w.Value.(*call).state.Load() == pending {
+				d.core.Arrive(w, time.Now())
+			}
+		case r := <-d.releases.Items():
+			d.core.Release(r.bound, r.result, time.Now())
+		case f := <-d.controls.Items():
+			f(time.Now())
+		case now := <-timer.C:
+			armed = time.Time{}
+			d.core.Tick(now)
+		}
+		d.publish()
+		// A timer that is armed too early only ticks once too often, so it is set back on demand only.
+		if next, ok := d.core.Next(); ok && (armed.IsZero() || next.Before(armed)) {
+			armed = next
+			timer.Reset(time.Until(next))
+		}
+	}
+}
+
+// Update sets the service's rules and the group's upstreams.
+func (d *Dispatcher) Update(svc declaration.Service, ups []declaration.Upstream) {
+	d.control(func(now time.Time) { d.core.Update(svc, ups, now) })
+}
+
+// Acquire waits for the decision about the ticket. A Bound has to be given back by Release and a Spill by Return.
+// When ctx ends first, the ticket is withdrawn and Refused is returned.
+func (d *Dispatcher) Acquire(ctx context.Context, t Ticket) Grant {
+	c := &call{grant: make(chan Grant, 1)}
+	w := &Waiter{Ticket: t, Value: c}
+	if !d.arrivals.Put(d.done, w) {
+		return Refused{Reason: outcome.NotReady}
+	}
+	select {
+	case g := <-c.grant:
+		return g
+	case <-d.done:
+		return Refused{Reason: outcome.NotReady}
+	case <-ctx.Done():
+	}
+	if c.state.CompareAndSwap(pending, withdrawn) {
+		d.control(func(time.Time) { d.core.Withdraw(w) })
+	} else {
+		d.giveBack(<-c.grant)
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return Refused{Reason: outcome.DeadlineUnreachable}
+	}
+	return Refused{Reason: outcome.Cancelled}
+}
+
+// Release gives back the slot of a Bound.
+func (d *Dispatcher) Release(b Bound, res Result) {
+	d.releases.Put(d.done, release{bound: b, result: res})
+}
+
+// Return ends a spill; refused tells that the other home had no free slot and ran nothing. It has to be called before
+// the Report of the same response.
+func (d *Dispatcher) Return(s Spill, refused bool) {
+	d.control(func(now time.Time) { d.core.Return(s, refused, now) })
+}
+
+// Observe takes a statement about an upstream from a peer or a probe.
+func (d *Dispatcher) Observe(name string, state State) {
+	d.control(func(now time.Time) { d.core.Observe(name, state, now) })
+}
+
+// Report takes the load of another group's home; at is the time at which it was made, by this VM's clock.
+func (d *Dispatcher) Report(group string, free, waiting int, at time.Time) {
+	d.control(func(now time.Time) { d.core.Report(group, free, waiting, at, now) })
+}
+
+// Load returns the free slots and the number of waiting requests after the last event.
+func (d *Dispatcher) Load() (free, waiting int) {
+	n := d.load.Load()
+	return int(n >> 32), int(uint32(n))
+}
+
+func (d *Dispatcher) control(f func(now time.Time)) {
+	d.controls.Put(d.done, f)
+}
+
+func (d *Dispatcher) publish() {
+	free, waiting := d.core.Load(time.Now())
+	d.load.Store(uint64(free)<<32 | uint64(uint32(waiting)))
+}
+
+func (d *Dispatcher) giveBack(g Grant) {
+	switch g := g.(type) {
+	case Bound:
+		d.Release(g, Result{Class: upstream.Cancelled})
+	case Spill:
+		d.Return(g, false)
+	case Refused:
+	}
+}
+
+// deliver passes the grant to the caller and returns false if the caller has withdrawn.
+func deliver(w *Waiter, g Grant) bool {
+	c := w.Value.(*call)
+	if !c.state.CompareAndSwap(pending, decided) {
+		return false
+	}
+	c.grant <- g
+	return true
+}
--- /dev/null
+++ b/pool/pool.go
@@ -0,0 +1,238 @@
+package pool
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/fulmarhitch/fulmarhitch/declaration"
+	"github.com/fulmarhitch/fulmarhitch/request"
+	"github.com/fulmarhitch/fulmarhitch/upstream"
+)
+
+const (
+	// slowFactor is how many times the group's median a service time must be to count as slow.
+	slowFactor = 4
+	// firstMean is the mean service time assumed before the first answer.
+	firstMean = 10 * time.Millisecond
+	// meanSmoothing is the weight of a new service time in the group's mean.
+	meanSmoothing = 1.0 / 64
+	// meanClamp bounds a service time by a multiple of the mean, so that a straggler does not distort the mean.
+	meanClamp = 8
+)
+
+// Pool holds the upstreams of a group.
+type Pool struct {
+	members   []*member
+	random    *rand.Rand
+	started   bool
+	longShare float64
+	long      int
+	mean      time.Duration
+	median    time.Duration
+}
+
+type member struct {
+	declared declaration.Upstream
+	state    *upstream.Upstream
+}
+
+// Slot is a slot taken by a request until Release.
+type Slot struct {
+	// Upstream is the upstream that runs the request.
+	Upstream declaration.Upstream
+
+	member        *member
+	long, suspect bool
+}
+
+// New returns an empty pool. random breaks ties and jitters back-offs.
+func New(random *rand.Rand) *Pool {
+	return &Pool{random: random, longShare: 1, mean: firstMean}
+}
+
+// SetLongShare sets the part of the slots, 0 to 1, that long work may hold; it may always hold one slot.
+func (p *Pool) SetLongShare(share float64) { p.longShare = min(max(share, 0), 1) }
+
+// Update replaces the list of upstreams and keeps what is known of those that stay. The upstreams of the first
+// update start with all slots, because they usually ran before the pool did; later ones are in slow start.
+func (p *Pool) Update(ups []declaration.Upstream, _ time.Time) {
+	members := make([]*member, 0, len(ups))
+	for _, up := range ups {
+		m := p.find(up.Name)
+		if m == nil || m.declared.Address != up.Address {
+			m = &member{state: upstream.New(up.Slots, p.started, p.random)}
+		}
+		if m.declared.Leaving != up.Leaving {
+			m.state.SetLeaving(up.Leaving)
+		}
+		m.declared = up
+		m.state.SetSlots(up.Slots)
+		members = append(members, m)
+	}
+	p.members = members
+	p.started = p.started || len(members) > 0
+}
+
+// Acquire takes the best free slot for the request. The upstream named exclude is not used, and a suspect gets no
+// upstream that runs a suspect; ok is false if there is no slot.
+func (p *Pool) Acquire(r *request.Request, exclude string, suspect bool, now time.Time) (slot Slot, ok bool) {
+	if r.Long && p.long >= p.longLimit() {
+		return Slot{}, false
+	}
+	distrust := p.distrust(now)
+	var best *member
+	var bestCost float64
+	for _, m := range p.members {
+		if !p.usable(m, distrust, now) || m.declared.Name == exclude || suspect && m.state.Suspects() > 0 {
+			continue
+		}
+		free := m.state.Free(now)
+		if free == 0 {
+			continue
+		}
+		cost := p.cost(m, free, r)
+		if best == nil || cost < bestCost {
+			best, bestCost = m, cost
+		}
+	}
+	if best == nil {
+		return Slot{}, false
+	}
+	best.state.Start(suspect)
+	if r.Long {
+		p.long++
+	}
+	return Slot{Upstream: best.declared, member: best, long: r.Long, suspect: suspect}, true
+}
+
+// Release ends the use of a slot; service is the time that the request ran.
+func (p *Pool) Release(s Slot, class upstream.Class, service time.Duration, now time.Time) {
+	if s.long {
+		p.long--
+	}
+	s.member.state.Finish(class, s.suspect, service, p.mean, now)
+	if class != upstream.Answered {
+		return
+	}
+	if !s.long {
+		x := min(service, meanClamp*p.mean)
+		p.mean += time.Duration(float64(x-p.mean) * meanSmoothing)
+	}
+	p.mark()
+}
+
+// Observe passes a statement about the upstream on; an unknown name is ignored.
+func (p *Pool) Observe(name string, state upstream.State, now time.Time) {
+	if m := p.find(name); m != nil {
+		m.state.Observe(state, now)
+	}
+}
+
+// Mean returns the mean service time of work that is not long.
+func (p *Pool) Mean() time.Duration { return p.mean }
+
+// Free returns the number of free slots of usable upstreams.
+func (p *Pool) Free(now time.Time) int {
+	free := 0
+	distrust := p.distrust(now)
+	for _, m := range p.members {
+		if p.usable(m, distrust, now) {
+			free += m.state.Free(now)
+		}
+	}
+	return free
+}
+
+// Usable reports whether any upstream could run work, now or later.
+func (p *Pool) Usable() bool {
+	return slices.ContainsFunc(p.members, func(m *member) bool { return !m.state.Leaving() })
+}
+
+// Next returns the next time at which a slot becomes free without a Release; ok is false if there is none.
+func (p *Pool) Next() (next time.Time, ok bool) {
+	for _, m := range p.members {
+		if t, some := m.state.Next(); some && (!ok || t.Before(next)) {
+			next, ok = t, true
+		}
+	}
+	return next, ok
+}
+
+func (p *Pool) find(name string) *member {
+	for _, m := range p.members {
+		if m.declared.Name == name {
+			return m
+		}
+	}
+	return nil
+}
+
+func (p *Pool) usable(m *member, distrust bool, now time.Time) bool {
+	return !m.state.Leaving() && (distrust || !m.state.Ejected(now))
+}
+
+// distrust reports whether more than half of the upstreams are ejected. Then the fault is more likely in the
+// measurement or the network than in the upstreams, and ejection is ignored.
+func (p *Pool) distrust(now time.Time) bool {
+	ejected, all := 0, 0
+	for _, m := range p.members {
+		if m.state.Leaving() {
+			continue
+		}
+		all++
+		if m.state.Ejected(now) {
+			ejected++
+		}
+	}
+	return 2*ejected > all
+}
+
+func (p *Pool) longLimit() int {
+	slots := 0
+	for _, m := range p.members {
+		if !m.state.Leaving() {
+			slots += m.state.Slots()
+		}
+	}
+	return max(int(p.longShare*float64(slots)), 1)
+}
+
+// cost is the expected service time at the member, raised by its share of taken slots.
+func (p *Pool) cost(m *member, free int, r *request.Request) float64 {
+	typical, ok := m.state.Typical()
+	if !ok {
+		typical = max(p.median, time.Millisecond)
+	}
+	taken := 1 - float64(free)/float64(m.state.Slots())
+	cost := float64(typical) * (1 + taken)
+	if m.state.Trial() && !r.Idempotent {
+		// An upstream that failed before may lose the request, which can't be repeated.
+		cost *= slowFactor
+	}
+	// Up to a tenth of noise spreads work over equal upstreams.
+	return cost * (1 + 0.1*p.random.Float64())
+}
+
+// mark finds the median service time and marks the upstreams far above it as slow.
+func (p *Pool) mark() {
+	var buffer [64]time.Duration
+	all := buffer[:0]
+	for _, m := range p.members {
+		if t, ok := m.state.Typical(); ok && !m.state.Leaving() {
+			all = append(all, t)
+		}
+	}
+	if len(all) == 0 {
+		return
+	}
+	slices.Sort(all)
+	p.median = all[(len(all)-1)/2]
+	for _, m := range p.members {
+		t, ok := m.state.Typical()
+		m.state.SetSlow(ok && t > slowFactor*p.median)
+	}
+}
+
+// Hear takes the state that the response to the slot's request states.
+func (p *Pool) Hear(s Slot, state upstream.State) { s.member.state.Hear(state) }
--- /dev/null
+++ b/pool/pool_test.go
@@ -0,0 +1,97 @@
+package pool_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fulmarhitch/fulmarhitch/declaration"
+	"github.com/fulmarhitch/fulmarhitch/pool"
+	"github.com/fulmarhitch/fulmarhitch/request"
+	"github.com/fulmarhitch/fulmarhitch/upstream"
+)
+
+const ms = time.Millisecond
+
+var now = time.Unix(1000, 0)
+
+func fill(n int) *pool.Pool {
+	p := pool.New(rand.New(rand.NewPCG(1, 2)))
+	var ups []declaration.Upstream
+	for i := range n {
+		ups = append(ups, declaration.Upstream{Name: fmt.Sprint("u", i), Slots: 2})
+	}
+	p.Update(ups, now)
+	return p
+}
+
+// take acquires until the pool refuses and counts the slots of each upstream. It does so half a second later, when no
+// slot is held for a failed request and no ejection has ended.
+func take(p *pool.Pool, r *request.Request, exclude string, suspect bool) map[string]int {
+	got := make(map[string]int)
+	for {
+		s, ok := p.Acquire(r, exclude, suspect, now.Add(500*ms))
+		if !ok {
+			return got
+		}
+		got[s.Upstream.Name]++
+	}
+}
+
+// run serves requests on all slots at once, with the class and service time of each upstream.
+func run(p *pool.Pool, rounds int, class map[string]upstream.Class, service map[string]time.Duration) {
+	for i := range rounds {
+		at := now.Add(time.Duration(i) * 20 * ms)
+		var slots []pool.Slot
+		for s, ok := p.Acquire(&request.Request{}, "", false, at); ok; s, ok = p.Acquire(&request.Request{}, "", false, at) {
+			slots = append(slots, s)
+		}
+		for _, s := range slots {
+			p.Release(s, class[s.Upstream.Name], max(service[s.Upstream.Name], 8*ms), at)
+		}
+	}
+}
+
+// TestAcquire guards against slots given beyond the rules for health, long work and suspects.
+func TestAcquire(t *testing.T) {
+	for name, c := range map[string]struct {
+		class   map[string]upstream.Class
+		service map[string]time.Duration
+		request request.Request
+		exclude string
+		suspect bool
+		share   float64
+		want    map[string]int
+	}{
+		"all slots":                  {want: map[string]int{"u0": 2, "u1": 2, "u2": 2}, share: 1},
+		"an excluded upstream":       {want: map[string]int{"u0": 2, "u2": 2}, share: 1, exclude: "u1"},
+		"one suspect each":           {want: map[string]int{"u0": 1, "u1": 1, "u2": 1}, share: 1, suspect: true},
+		"a slow one keeps one slot":  {want: map[string]int{"u0": 2, "u1": 1, "u2": 2}, share: 1, service: map[string]time.Duration{"u1": 80 * ms}},
+		"an ejected one gets none":   {want: map[string]int{"u0": 2, "u2": 2}, share: 1, class: map[string]upstream.Class{"u1": upstream.Unsent}},
+		"distrust ignores ejections": {want: map[string]int{"u0": 2, "u1": 2, "u2": 2}, share: 1, class: map[string]upstream.Class{"u1": upstream.Died, "u0": upstream.Died}},
+	} {
+		Convey(name, t, func() {
+			p := fill(3)
+			p.SetLongShare(c.share)
+			run(p, 8, c.class, c.service)
+			So(take(p, &c.request, c.exclude, c.suspect), ShouldResemble, c.want)
+		})
+	}
+	Convey("long work holds its share only", t, func() {
+		p := fill(3)
+		p.SetLongShare(0.5)
+		long := take(p, &request.Request{Long: true}, "", false)
+		So(long["u0"]+long["u1"]+long["u2"], ShouldEqual, 3)
+		So(p.Free(now), ShouldEqual, 3)
+	})
+	Convey("the faster of two free upstreams is chosen", t, func() {
+		p := fill(2)
+		run(p, 8, nil, map[string]time.Duration{"u0": 16 * ms})
+		s, ok := p.Acquire(&request.Request{}, "", false, now)
+		So(ok, ShouldBeTrue)
+		So(s.Upstream.Name, ShouldEqual, "u1")
+	})
+}
--- /dev/null
+++ b/upstream/upstream_test.go
@@ -0,0 +1,72 @@
+package upstream_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fulmarhitch/fulmarhitch/upstream"
+)
+
+const ms = time.Millisecond
+
+// TestHealth guards against an upstream that is used while failing, or that returns at once with all its slots.
+func TestHealth(t *testing.T) {
+	now := time.Unix(1000, 0)
+	once := func(u *upstream.Upstream, c upstream.Class) {
+		u.Start(false)
+		u.Finish(c, false, ms, 8*ms, now)
+	}
+	for name, c := range map[string]struct {
+		classes []upstream.Class
+		wait    time.Duration
+		ejected bool
+		free    int
+	}{
+		"three failures eject":             {[]upstream.Class{1, 2, 3}, 700 * ms, true, 3},
+		"a success between does not":       {[]upstream.Class{1, 1, 0, 1, 1}, 8 * ms, false, 3},
+		"cancelled requests say nothing":   {[]upstream.Class{7, 7, 7, 7}, 0, false, 3},
+		"a failed request holds its slot":  {[]upstream.Class{1, 0}, 7 * ms, false, 2},
+		"one slot after the ejection":      {[]upstream.Class{1, 1, 1}, 1300 * ms, false, 1},
+		"timeouts eject and hold no slot":  {[]upstream.Class{6, 6, 6}, 0, true, 3},
+		"an ejection is not moved forward": {[]upstream.Class{1, 1, 1, 1, 1}, 1300 * ms, false, 1},
+	} {
+		Convey(name, t, func() {
+			u := upstream.New(3, false, rand.New(rand.NewPCG(1, 2)))
+			for _, class := range c.classes {
+				once(u, class)
+			}
+			at := now.Add(c.wait)
+			So(u.Ejected(at), ShouldEqual, c.ejected)
+			So(u.Free(at), ShouldEqual, c.free)
+		})
+	}
+	Convey("a failed trial doubles the back-off and successes add slots", t, func() {
+		u := upstream.New(3, false, rand.New(rand.NewPCG(1, 2)))
+		for range 3 {
+			once(u, upstream.Lost)
+		}
+		now = now.Add(1300 * ms)
+		So(u.Ejected(now), ShouldBeFalse)
+		once(u, upstream.Lost)
+		So(u.Ejected(now.Add(1400*ms)), ShouldBeTrue)
+		now = now.Add(2600 * ms)
+		So(u.Ejected(now), ShouldBeFalse)
+		for i := range 8 {
+			So(u.Free(now), ShouldEqual, 1+i/4)
+			once(u, upstream.Answered)
+		}
+		So(u.Free(now), ShouldEqual, 3)
+	})
+	Convey("a drain is not ended by a late response", t, func() {
+		u := upstream.New(3, false, rand.New(rand.NewPCG(1, 2)))
+		u.Hear(upstream.Draining)
+		u.Hear(upstream.Ready)
+		So(u.Leaving(), ShouldBeTrue)
+		u.Observe(upstream.Ready, now)
+		So(u.Leaving(), ShouldBeFalse)
+		So(u.Free(now), ShouldEqual, 1)
+	})
+}
