--- /dev/null
+++ b/ledger/ledger.go
@@ -0,0 +1,135 @@
+package ledger
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fulmarhitch/fulmarhitch/key"
+	"github.com/fulmarhitch/fulmarhitch/outcome"
+)
+
+const (
+	// MaxAhead is how far in the future a key may expire.
+	MaxAhead = 180 * time.Second
+	// MaxKept is the size of the largest kept answer, header and body together, in bytes.
+	MaxKept = 4 << 10
+	// MaxKeptTotal bounds all kept answers in bytes, because a node has 128 MB for control. Above it a repeat gets
+	// unknown with the reason answer-not-kept.
+	MaxKeptTotal = 32 << 20
+
+	shards = 64
+)
+
+// Ledger holds the used keys of one incarnation.
+type Ledger struct {
+	incarnation uint64
+	limit       int64
+	start       time.Time
+	// latest is the latest ledger time in ms, so that it never runs backwards.
+	latest atomic.Int64
+	keys   atomic.Int64
+	kept   atomic.Int64
+	shards [shards]shard
+}
+
+// New returns an empty ledger of an incarnation that started at start and holds at most limit keys.
+func New(incarnation uint64, limit int, start time.Time) *Ledger {
+	l := &Ledger{incarnation: incarnation, limit: int64(limit), start: start}
+	l.latest.Store(start.UnixMilli())
+	for i := range l.shards {
+		l.shards[i].windows = make(map[int64]map[id]record)
+	}
+	return l
+}
+
+// Now returns the ledger's time: the start plus the monotonic time since then. It never runs backwards. Address
+// answers carry it as now-ms, so that keys expire by the same clock.
+func (l *Ledger) Now(now time.Time) time.Time {
+	ms := l.start.Add(now.Sub(l.start)).UnixMilli()
+	for {
+		latest := l.latest.Load()
+		if ms <= latest {
+			return time.UnixMilli(latest)
+		}
+		if l.latest.CompareAndSwap(latest, ms) {
+			return time.UnixMilli(ms)
+		}
+	}
+}
+
+// Len returns the number of keys held.
+func (l *Ledger) Len() int {
+	return int(l.keys.Load())
+}
+
+// Begin records the key with the request's fingerprint, or tells what became of an earlier request with the key.
+// Only after Started may the caller run the request, and it must then call Finish.
+func (l *Ledger) Begin(k key.Key, fingerprint uint64, now time.Time) Entry {
+	ms := l.Now(now).UnixMilli()
+	switch {
+	case k.Incarnation != l.incarnation:
+		return Finished{outcome.Unknown{Reason: outcome.HomeGone, Detail: "the key belongs to another incarnation"}}
+	case k.Expiry <= ms:
+		return Finished{outcome.Unknown{Reason: outcome.KeyExpired}}
+	case k.Expiry > ms+MaxAhead.Milliseconds():
+		return Refused{outcome.BadRequest}
+	}
+	s := l.shard(k)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(l, ms)
+	w, i := window(k), identify(k)
+	if r, ok := s.windows[w][i]; ok {
+		return s.repeat(w, i, r, fingerprint)
+	}
+	if l.keys.Add(1) > l.limit {
+		l.keys.Add(-1)
+		return Refused{outcome.LedgerFull}
+	}
+	if s.windows[w] == nil {
+		s.windows[w] = make(map[id]record)
+	}
+	s.windows[w][i] = record{fingerprint: fingerprint}
+	return Started{}
+}
+
+// Finish records the outcome of the started request and wakes those that wait for it. A second call for the key is
+// ignored. The ledger keeps a copy of an answer.
+func (l *Ledger) Finish(k key.Key, out outcome.Outcome) {
+	s := l.shard(k)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w, i := window(k), identify(k)
+	r, ok := s.windows[w][i]
+	if !ok || !r.running() {
+		return
+	}
+	r.wake()
+	r.state = l.keep(out)
+	s.windows[w][i] = r
+}
+
+func (l *Ledger) shard(k key.Key) *shard {
+	return &l.shards[k.Random[0]%shards]
+}
+
+// Expire forgets expired keys. Begin does so for the keys near its own; call Expire about once a second so that
+// an idle ledger empties too.
+func (l *Ledger) Expire(now time.Time) {
+	ms := l.Now(now).UnixMilli()
+	for i := range l.shards {
+		s := &l.shards[i]
+		s.mu.Lock()
+		s.expire(l, ms)
+		s.mu.Unlock()
+	}
+}
+
+// shard is a part of the ledger under its own lock.
+type shard struct {
+	mu sync.Mutex
+	// windows maps a window of expiry times to the keys that expire in it, so that a whole window is forgotten at
+	// once and no key needs a place in an order of expiry.
+	windows map[int64]map[id]record
+}
