--- /dev/null
+++ b/caller/caller.go
@@ -0,0 +1,130 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/singleflight"
+
+	"github.com/fulmarhitch/fulmarhitch/key"
+	"github.com/fulmarhitch/fulmarhitch/outcome"
+)
+
+// Config configures a Caller.
+type Config struct {
+	// Entries are the IP addresses and ports of entry VMs to ask for the addresses of a service.
+	Entries []string
+	// FailureDomain is a hint where the caller is, or empty.
+	FailureDomain string
+	// Token is sent as a bearer token with each request, or empty.
+	Token string
+	// MaxAnswer bounds the body of an answer in bytes; 0 means 64 MiB.
+	MaxAnswer int
+	// DialTimeout bounds a connection attempt; 0 means 250 ms.
+	DialTimeout time.Duration
+	// MaxConnections bounds the open connections to one address; 0 means 256.
+	MaxConnections int
+}
+
+// Call is one request of a caller.
+type Call struct {
+	Service, Kind string
+	// Path has no leading slash and may carry a query.
+	Path string
+	// Method is the HTTP method; empty means GET for idempotent kinds and POST for others.
+	Method string
+	Header http.Header
+	Body   []byte
+	// Idempotent must be true only if the operators' file marks the kind so.
+	Idempotent bool
+	// Depth counts the calls that led to this one.
+	Depth int
+	// Key is the text form of the key to use for a non-idempotent kind; empty means a new one.
+	Key string
+	// Repeat allows sending the same key again when the outcome is unknown; the key's incarnation alone decides
+	// whether the request runs. With a Key it says that the key was sent before, so that "not run" is not reported.
+	Repeat bool
+}
+
+// Caller sends calls to entry VMs. Its methods are safe for concurrent use.
+type Caller struct {
+	config    Config
+	transport *http.Transport
+	group     singleflight.Group
+
+	mu     sync.Mutex
+	cached map[string]*Addresses
+	// failed holds the time of the last failed connection attempt by address.
+	failed map[string]time.Time
+}
+
+// New returns a Caller. Close it to release its connections.
+func New(config Config) *Caller {
+	setDefault(&config.MaxAnswer, 64<<20)
+	setDefault(&config.DialTimeout, 250*time.Millisecond)
+	setDefault(&config.MaxConnections, 256)
+	return &Caller{
+		config:    config,
+		transport: newTransport(config),
+		cached:    make(map[string]*Addresses),
+		failed:    make(map[string]time.Time),
+	}
+}
+
+func setDefault[T comparable](p *T, value T) {
+	var zero T
+	if *p == zero {
+		*p = value
+	}
+}
+
+// Close closes idle connections.
+func (c *Caller) Close() {
+	c.transport.CloseIdleConnections()
+}
+
+// NewKey returns a key for a later call of the service, so that the caller can keep it and repeat the call with it.
+func (c *Caller) NewKey(ctx context.Context, service string) (key.Key, error) {
+	a, err := c.Addresses(ctx, service)
+	if err != nil {
+		return key.Key{}, err
+	}
+	targets := c.order(a)
+	if len(targets) == 0 {
+		return key.Key{}, errors.Newf("caller: no address for service %s", service)
+	}
+	return a.key(targets[0]), nil
+}
+
+// Call sends the call and returns its outcome. The deadline of ctx is the request's; without one it is 30 s ahead.
+func (c *Caller) Call(ctx context.Context, call Call) outcome.Outcome {
+	if call.Method == "" {
+		call.Method = http.MethodPost
+		if call.Idempotent {
+			call.Method = http.MethodGet
+		}
+	}
+	if !call.Idempotent && call.Method != http.MethodPost {
+		return outcome.NotRun{Reason: outcome.BadRequest, Detail: "a non-idempotent kind accepts only POST"}
+	}
+	if call.Key != "" {
+		if _, err := key.Parse(call.Key); err != nil {
+			return outcome.NotRun{Reason: outcome.BadRequest, Detail: err.Error()}
+		}
+	}
+	ctx, cancel := withDeadline(ctx)
+	defer cancel()
+	return c.deliver(ctx, call)
+}
+
+const defaultTimeout = 30 * time.Second
+
+func withDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
+	if _, ok := ctx.Deadline(); ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, defaultTimeout)
+}
--- /dev/null
+++ b/caller/exchange.go
@@ -0,0 +1,145 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/fulmarhitch/fulmarhitch/outcome"
+)
+
+// Headers of the protocol between callers and entry VMs.
+const (
+	headerDeadline  = "Fulmarhitch-Deadline-Ms"
+	headerKey       = "Fulmarhitch-Key"
+	headerDepth     = "Fulmarhitch-Depth"
+	headerRequestID = "Fulmarhitch-Request-Id"
+	headerOutcome   = "Fulmarhitch-Outcome"
+	headerReason    = "Fulmarhitch-Reason"
+)
+
+// reach sends the call to the address. It returns delivered = false if no byte of it was written.
+func (c *Caller) reach(ctx context.Context, to Address, call Call) (out outcome.Outcome, delivered bool) {
+	out, delivered, stale := c.exchange(ctx, to, call)
+	// A kept connection that the server closed says nothing about the address, so that it is tried once more.
+	if stale {
+		out, delivered, _ = c.exchange(ctx, to, call)
+	}
+	return out, delivered
+}
+
+// exchange sends the call once. It returns stale = true if the connection failed before any byte was written.
+func (c *Caller) exchange(ctx context.Context, to Address, call Call) (out outcome.Outcome, delivered, stale bool) {
+	id := rand.Text()
+	req, err := c.request(ctx, to, call, id)
+	if err != nil {
+		return outcome.NotRun{Reason: outcome.BadRequest, Detail: err.Error()}, true, false
+	}
+	var d delivery
+	resp, err := c.transport.RoundTrip(req.WithContext(d.trace(ctx)))
+	if err != nil {
+		if d.sent() {
+			return lost(ctx, err), true, false
+		}
+		stale = d.given() && ctx.Err() == nil
+		if !stale && ctx.Err() == nil {
+			c.avoid(to.Address)
+		}
+		return outcome.NotRun{Reason: outcome.Unreachable, Detail: err.Error()}, false, stale
+	}
+	defer resp.Body.Close()
+	return c.read(ctx, resp, id), true, false
+}
+
+func lost(ctx context.Context, err error) outcome.Outcome {
+	if ctx.Err() != nil {
+		return outcome.Unknown{Reason: outcome.Timeout, Detail: err.Error()}
+	}
+	return outcome.Unknown{Reason: outcome.ConnectionLost, Detail: err.Error()}
+}
+
+func (c *Caller) request(ctx context.Context, to Address, call Call, id string) (*http.Request, error) {
+	path, query, _ := strings.Cut(call.Path, "?")
+	target := url.URL{Scheme: "http", Host: to.Address, RawQuery: query}
+	target.Path = "/v1/call/" + call.Service + "/" + call.Kind + "/" + path
+	// The body has a type that the HTTP library can't rewind, so that its transport never sends it twice.
+	var body io.Reader
+	if len(call.Body) > 0 {
+		body = struct{ io.Reader }{bytes.NewReader(call.Body)}
+	}
+	req, err := http.NewRequestWithContext(ctx, call.Method, target.String(), body)
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = int64(len(call.Body))
+	for name, values := range call.Header {
+		req.Header[http.CanonicalHeaderKey(name)] = values
+	}
+	// The transport replays requests that carry one of these headers.
+	req.Header.Del("Idempotency-Key")
+	req.Header.Del("X-Idempotency-Key")
+	c.authorize(req)
+	deadline, _ := ctx.Deadline()
+	left := max(1, time.Until(deadline).Milliseconds())
+	req.Header.Set(headerDeadline, strconv.FormatInt(left, 10))
+	req.Header.Set(headerDepth, strconv.Itoa(call.Depth))
+	req.Header.Set(headerRequestID, id)
+	req.Header.Del(headerKey)
+	if call.Key != "" {
+		req.Header.Set(headerKey, call.Key)
+	}
+	return req, nil
+}
+
+// read returns the outcome that a response carries.
+func (c *Caller) read(ctx context.Context, resp *http.Response, id string) outcome.Outcome {
+	if echo := resp.Header.Get(headerRequestID); echo != id {
+		return outcome.Unknown{Reason: outcome.Mismatched, Detail: "the answer names request " + strconv.Quote(echo)}
+	}
+	// Without a length, an answer that ends early looks whole.
+	if resp.ContentLength < 0 {
+		return outcome.Unknown{Reason: outcome.Truncated, Detail: "the answer has no Content-Length"}
+	}
+	if resp.ContentLength > int64(c.config.MaxAnswer) {
+		return outcome.Unknown{Reason: outcome.Truncated, Detail: "the answer is longer than the limit"}
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		if ctx.Err() != nil {
+			return outcome.Unknown{Reason: outcome.Timeout, Detail: err.Error()}
+		}
+		return outcome.Unknown{Reason: outcome.Truncated, Detail: err.Error()}
+	}
+	reason := outcome.Reason(resp.Header.Get(headerReason))
+	switch kind := resp.Header.Get(headerOutcome); kind {
+	case "answered":
+		return outcome.Answered{Status: resp.StatusCode, Header: endToEnd(resp.Header), Body: body}
+	case "not-run":
+		return outcome.NotRun{Reason: reason, Detail: detail(body)}
+	case "unknown":
+		return outcome.Unknown{Reason: reason, Detail: detail(body)}
+	default:
+		return outcome.Unknown{Reason: outcome.Mismatched, Detail: "the answer has the outcome " + strconv.Quote(kind)}
+	}
+}
+
+// detail returns the start of a text body.
+func detail(body []byte) string {
+	const most = 1 << 10
+	return strings.TrimSpace(string(body[:min(len(body), most)]))
+}
+
+// endToEnd returns the headers without those of the protocol and of the connection.
+func endToEnd(h http.Header) http.Header {
+	h = h.Clone()
+	for _, name := range []string{headerRequestID, headerOutcome, headerReason, "Connection", "Keep-Alive", "Transfer-Encoding"} {
+		h.Del(name)
+	}
+	return h
+}
