--- /dev/null
+++ b/generation/doc.go
@@ -0,0 +1,2 @@
+// Package generation holds the configuration in force, which never goes back.
+package generation
--- /dev/null
+++ b/generation/generation.go
@@ -0,0 +1,105 @@
+package generation
+
+import (
+	"bytes"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fulmarhitch/fulmarhitch/declaration"
+	"github.com/fulmarhitch/fulmarhitch/envelope"
+)
+
+var (
+	// ErrLower marks a generation below the highest one seen.
+	ErrLower = errors.New("generation: below the highest generation seen")
+	// ErrDifferent marks an envelope whose generation is in force with another content.
+	ErrDifferent = errors.New("generation: in force with another content")
+)
+
+// Parser returns the declaration of a file's text.
+type Parser func(name string, text []byte) (*declaration.Declaration, error)
+
+// Current is the configuration in force. It is shared and must not be changed.
+type Current struct {
+	Envelope    envelope.Envelope
+	Declaration *declaration.Declaration
+}
+
+// Holder keeps the configuration in force. It serves many goroutines.
+type Holder struct {
+	parse   Parser
+	current atomic.Pointer[Current]
+	highest atomic.Uint64
+
+	mu      sync.Mutex // guards Install and changed
+	changed chan struct{}
+}
+
+// New returns a holder without a configuration.
+func New(parse Parser) *Holder {
+	return &Holder{parse: parse, changed: make(chan struct{})}
+}
+
+// Current returns the configuration in force, or nil before the first one.
+func (h *Holder) Current() *Current {
+	return h.current.Load()
+}
+
+// Generation returns the generation in force, or 0 before the first one.
+func (h *Holder) Generation() uint64 {
+	if c := h.Current(); c != nil {
+		return c.Envelope.Generation
+	}
+	return 0
+}
+
+// Highest returns the highest generation seen. It is above Generation if that envelope's text could not be parsed.
+func (h *Holder) Highest() uint64 {
+	return h.highest.Load()
+}
+
+// Changed returns a channel that is closed when the next configuration comes into force. Take it before Current, so
+// that no change is missed in between.
+func (h *Holder) Changed() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.changed
+}
+
+// Install puts e in force and returns true. It returns false without an error if e is in force already, ErrLower for a
+// generation below the highest one seen, ErrDifferent for the generation in force with another content, and the
+// parser's error for a text that is not valid; the configuration in force then stays.
+func (h *Holder) Install(e envelope.Envelope) (bool, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if e.Generation < h.Highest() {
+		return false, errors.Wrapf(ErrLower, "generation %d, highest %d", e.Generation, h.Highest())
+	}
+	if e.Generation == h.Generation() {
+		return false, h.compare(e)
+	}
+	h.highest.Store(e.Generation)
+	d, err := h.parse("configuration", e.Text)
+	if err != nil {
+		return false, errors.Wrapf(err, "generation %d", e.Generation)
+	}
+	h.current.Store(&Current{Envelope: e, Declaration: d})
+	close(h.changed)
+	h.changed = make(chan struct{})
+	return true, nil
+}
+
+// compare returns an error if e, which has the generation in force, has another submission or text.
+func (h *Holder) compare(e envelope.Envelope) error {
+	c := h.Current()
+	if c == nil {
+		return errors.New("generation: envelope without a generation")
+	}
+	if c.Envelope.Submission != e.Submission || !bytes.Equal(c.Envelope.Text, e.Text) {
+		return errors.Wrapf(ErrDifferent, "generation %d: submission %q in force, %q refused",
+			e.Generation, c.Envelope.Submission, e.Submission)
+	}
+	return nil
+}
