--- a/gossip/duty.go
+++ b/gossip/duty.go
@@ -199,20 +199,24 @@
 	_, _ = g.transport.Push(ctx, address, q)
 }
 
-// compareDuty compares the whole state with a random peer in each interval, from a random start.
+// compareDuty compares the whole state with a random peer in each interval. The first comparison follows the first
+// contact, so that a starting VM knows the fleet at once; then a random wait spreads the VMs over the interval.
 func (g *Gossip) compareDuty(ctx context.Context) {
-	g.mu.Lock()
-	wait := time.Duration(g.rnd.Int64N(int64(g.options.CompareInterval)))
-	g.mu.Unlock()
+	wait, joined := g.options.PingTimeout, false
 	for {
 		select {
 		case <-time.After(wait):
 		case <-ctx.Done():
 			return
 		}
-		wait = g.options.CompareInterval
 		g.mu.Lock()
 		peers := g.table.Sample(1, "")
+		if joined {
+			wait = g.options.CompareInterval
+		} else if len(peers) > 0 {
+			joined = true
+			wait = time.Duration(g.rnd.Int64N(int64(g.options.CompareInterval)))
+		}
 		g.mu.Unlock()
 		for _, p := range peers {
 			g.compareWith(ctx, p.PeerAddress)
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -313,3 +313,11 @@
 	}
 	return all
 }
+
+// Upstream returns the last state of the upstream that this VM knows of.
+func (g *Gossip) Upstream(service, upstream string) (peerpb.UpstreamEvent_State, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s, ok := g.events.upstreams[upstreamKey{service, upstream}]
+	return s.event.GetState(), ok
+}
