--- /dev/null
+++ b/standin/server/answer.go
@@ -0,0 +1,73 @@
+package server
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"strconv"
+)
+
+// answer is what the stand-in says about one request.
+type answer struct {
+	id, digest string
+	faults     Faults
+}
+
+type answerWire struct {
+	RequestID  string `json:"request-id"`
+	BodyDigest string `json:"body-digest"`
+}
+
+func (s *Server) refuse(w http.ResponseWriter, a answer, why string) {
+	w.Header().Set(headerRefused, why)
+	s.answer(w, a, http.StatusServiceUnavailable)
+}
+
+// answer writes the answer with the load, state and echo headers, cut or in chunks as the faults say.
+func (s *Server) answer(w http.ResponseWriter, a answer, status int) {
+	load, state := s.reported()
+	id := a.id
+	if a.faults.WrongID != "" {
+		id = a.faults.WrongID
+	}
+	h := w.Header()
+	h.Set(headerRequestID, id)
+	h.Set(headerDigest, a.digest)
+	h.Set(headerLoad, load.String())
+	h.Set(headerState, string(state))
+	h.Set("Content-Type", "application/json")
+	body, _ := json.Marshal(answerWire{RequestID: id, BodyDigest: a.digest})
+	body = append(body, bytes.Repeat([]byte(" "), a.faults.Pad)...)
+	whole, half := body, body[:len(body)/2]
+	switch a.faults.Cut {
+	case CutHeader:
+		panic(http.ErrAbortHandler)
+	case CutLength:
+		h.Set("Content-Length", strconv.Itoa(len(body)))
+		writeAndAbort(w, status, half)
+	case CutChunked:
+		writeAndAbort(w, status, half)
+	case CutUnmarked:
+		h.Set("Transfer-Encoding", "identity")
+		writeAndAbort(w, status, half)
+	case CutNone:
+		if !a.faults.Chunked {
+			h.Set("Content-Length", strconv.Itoa(len(body)))
+		}
+		w.WriteHeader(status)
+		if a.faults.Chunked {
+			_, _ = w.Write(half)
+			_ = http.NewResponseController(w).Flush()
+			whole = body[len(half):]
+		}
+		_, _ = w.Write(whole)
+	}
+}
+
+// writeAndAbort sends the part and closes the connection.
+func writeAndAbort(w http.ResponseWriter, status int, part []byte) {
+	w.WriteHeader(status)
+	_, _ = w.Write(part)
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
