Encode a generation once for all peers that pull it

Cause: a peer that serves pulls would encode the envelope anew for each of them. Ruled out: keeping the bytes that came from the store, since a VM may also install an envelope that it made itself. Change: generation.Current.Encoded encodes on first use; envelope encodes at zstd's default level.

--- a/envelope/codec.go
+++ b/envelope/codec.go
@@ -28,7 +28,7 @@
 // keeps that memory at a few MiB.
 func newEncoder() (*zstd.Encoder, error) {
 	return zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(1<<20),
-		zstd.WithLowerEncoderMem(true), zstd.WithEncoderLevel(zstd.SpeedBetterCompression))
+		zstd.WithLowerEncoderMem(true))
 }
 
 func newDecoder() (*zstd.Decoder, error) {
--- a/generation/generation.go
+++ b/generation/generation.go
@@ -25,6 +25,16 @@
 type Current struct {
 	Envelope    envelope.Envelope
 	Declaration *declaration.Declaration
+
+	encode  sync.Once
+	encoded []byte
+	failure error
+}
+
+// Encoded returns the stored form of the envelope, which all peers that pull the generation share.
+func (c *Current) Encoded() ([]byte, error) {
+	c.encode.Do(func() { c.encoded, c.failure = envelope.Encode(c.Envelope) })
+	return c.encoded, c.failure
 }
 
 // Holder keeps the configuration in force. It serves many goroutines.
