Accept submissions by compare-and-swap

Cause: racing operators, lost answers and late writes must give each operator the true result. Ruled out: deciding by a read after a swap of unknown result. The write may still take effect; with that way the late write case of TestFaults ends with "Expected '{not in the store}' to be: 'submission.Accepted' (but was: 'submission.Unavailable')". Also ruled out: comparing the store with generations that are announced during the read; TestOvertaken then fails, because a store that is merely read early looks as if it were behind. Change: submission.Acceptor reads, swaps and repeats the same swap until the result is definite; the store's history identifies repeats. Submissions are refused while the store is behind what the VM has seen or heard.

--- /dev/null
+++ b/submission/attempt.go
@@ -0,0 +1,143 @@
+package submission
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fulmarhitch/fulmarhitch/backoff"
+	"github.com/fulmarhitch/fulmarhitch/envelope"
+	"github.com/fulmarhitch/fulmarhitch/finding"
+	"github.com/fulmarhitch/fulmarhitch/store"
+)
+
+// attempt is one submission in progress.
+type attempt struct {
+	acceptor *Acceptor
+	text     []byte
+	digest   uint64
+	base     uint64
+	id       string
+
+	// uncertain tells whether a swap was sent whose result is not known.
+	uncertain bool
+}
+
+// swap is a compare-and-swap that is ready to be sent, and sent again.
+type swap struct {
+	next   envelope.Envelope
+	data   []byte
+	expect uint64
+}
+
+// errConflict marks a swap that found another version, after which the store is read again.
+var errConflict = errors.New("submission: the store's version changed")
+
+// run reads and swaps until the result is definite. The store's history alone can show that the file was accepted, but
+// not that a swap of unknown result failed, because that swap may still take effect. Only sending the same swap again
+// shows that, or a later generation in the store.
+func (t *attempt) run(ctx context.Context) Result {
+	pause := backoff.New(leastPause, mostPause)
+	for failures := 1; ; failures++ {
+		s, result, cause := t.prepare(ctx)
+		if result == nil && cause == nil {
+			result, cause = t.send(ctx, s)
+		}
+		if result != nil {
+			return result
+		}
+		if !t.uncertain && failures == maxFailures || !pause.Wait(ctx) {
+			return t.failed(cause)
+		}
+	}
+}
+
+func (t *attempt) failed(cause error) Result {
+	if t.uncertain {
+		return Undecided{Cause: cause}
+	}
+	return Unavailable{Cause: cause}
+}
+
+// prepare reads the store and returns the result if it shows there, or the swap to send, or the cause of a failure that
+// may pass.
+func (t *attempt) prepare(ctx context.Context) (swap, Result, error) {
+	// Taken before the read: a generation that is announced during the read is no sign that the store is behind.
+	highest := t.acceptor.highest()
+	v, err := t.acceptor.store.Get(ctx, envelope.Key)
+	if err != nil {
+		return swap{}, nil, err
+	}
+	var e envelope.Envelope
+	if v.Version != 0 {
+		if e, err = envelope.Decode(v.Data); err != nil {
+			return swap{}, t.failed(errors.Wrap(err, "submission: the store's configuration is not readable")), nil
+		}
+		t.acceptor.install(e)
+	}
+	if e.Generation < highest {
+		return t.behind(errors.Wrapf(ErrBehind, "generation %d in the store, %d in the fleet", e.Generation, highest))
+	}
+	if result := t.lookUp(e); result != nil {
+		return swap{}, result, nil
+	}
+	next := e.Next(t.id, t.text)
+	data, err := envelope.Encode(next)
+	if err != nil {
+		return swap{}, t.failed(err), nil
+	}
+	if len(data) > store.MaxValue {
+		return swap{}, Invalid{Findings: []finding.Finding{tooLarge(len(data), store.MaxValue)}}, nil
+	}
+	return swap{next: next, data: data, expect: v.Version}, nil, nil
+}
+
+// behind refuses the submission at once, unless a swap of unknown result still has to be settled.
+func (t *attempt) behind(cause error) (swap, Result, error) {
+	if t.uncertain {
+		return swap{}, nil, cause
+	}
+	return swap{}, Unavailable{Cause: cause}, nil
+}
+
+// lookUp returns the result that the stored envelope shows, or nil if the swap can be sent.
+func (t *attempt) lookUp(e envelope.Envelope) Result {
+	if entry, found := e.Find(t.id); found {
+		if entry.Digest != t.digest {
+			return Invalid{Findings: []finding.Finding{{Place: "submission",
+				Message: "the identifier was used for another file"}}}
+		}
+		return Accepted{Generation: entry.Generation}
+	}
+	switch {
+	case e.Generation == t.base:
+		return nil
+	case e.Generation < t.base || e.Covers(t.base+1):
+		return Lost{Expected: t.base, Found: e.Generation}
+	default:
+		// This may be the repeat of a submission that was accepted and has left the history since.
+		return Undecided{Cause: errors.Newf("submission: the history of generation %d no longer holds generation %d",
+			e.Generation, t.base+1)}
+	}
+}
+
+// send sends the swap once and returns the result, or the cause for which the store has to be read and swapped again.
+func (t *attempt) send(ctx context.Context, s swap) (Result, error) {
+	switch r := t.acceptor.store.Put(ctx, envelope.Key, s.expect, s.data).(type) {
+	case store.Swapped:
+		t.acceptor.install(s.next)
+		return Accepted{Generation: s.next.Generation}, nil
+	case store.Conflict:
+		return nil, errConflict
+	case store.Uncertain:
+		t.uncertain = true
+		return nil, r.Cause
+	case store.Rejected:
+		if !r.Temporary {
+			return t.failed(r.Cause), nil
+		}
+		return nil, r.Cause
+	default:
+		return nil, errors.Newf("submission: result %T of the store", r)
+	}
+}
