Test pulls that fail

Cause: no test covered the retries of pulls or their bound. Ruled out: a test over sockets; the retries are a matter of time only. Change: TestPull with malformed answers of a peer. Measured: three failures end with the generation held after 4 pulls; endless failures end after 8 pulls.

--- a/reader/reader_test.go
+++ b/reader/reader_test.go
@@ -237,6 +237,38 @@
 	}
 }
 
+// TestPull guards against a VM that stays behind after failed pulls, or that pulls without end.
+func TestPull(t *testing.T) {
+	next, _ := envelope.Encode(envelope.Envelope{}.Next("s1", []byte("text")))
+	for name, test := range map[string]struct {
+		failures, pulls int
+		generation      uint64
+	}{"some fail": {3, 4, 1}, "all fail": {100, 8, 0}} {
+		synctest.Test(t, func(t *testing.T) {
+			Convey("Given an announced generation and pulls of which "+name, t, func() {
+				pulls, announced, log := 0, make(chan uint64, 1), logrus.New()
+				log.SetOutput(io.Discard)
+				h := generation.New(parse)
+				r := reader.New(reader.Config{
+					Store:  store.NewWithTransport("store", platform.New().Transport()),
+					Holder: h, Announced: announced, IsReader: func() bool { return false }, Log: log,
+					Pull: func(context.Context, uint64) ([]byte, error) {
+						if pulls++; pulls <= test.failures {
+							return []byte("{"), nil
+						}
+						return next, nil
+					},
+				})
+				So(r.Start(context.Background()), ShouldBeNil)
+				announced <- 1
+				time.Sleep(time.Minute)
+				So(r.Stop(context.Background()), ShouldBeNil)
+				So([]int{pulls, int(h.Generation())}, ShouldResemble, []int{test.pulls, int(test.generation)})
+			})
+		})
+	}
+}
+
 // TestSocket guards against duties that differ over real sockets, and against goroutines that outlive Stop.
 func TestSocket(t *testing.T) {
 	defer goleak.VerifyNone(t)
