Test the callers' library against fake entry VMs

With a body that the HTTP library can rewind and the header Idempotency-Key passed on, TestStaleConnection failed: the fake entry VM saw 3 requests for 2 calls (Expected: 2, Actual: 3), because the transport replayed the POST on a new connection.

--- /dev/null
+++ b/caller/caller_test.go
@@ -0,0 +1,264 @@
+package caller_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/goleak"
+
+	"github.com/fulmarhitch/fulmarhitch/caller"
+	"github.com/fulmarhitch/fulmarhitch/key"
+	"github.com/fulmarhitch/fulmarhitch/outcome"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// reply handles one call of a fake entry VM.
+type reply func(w http.ResponseWriter, r *http.Request)
+
+// answer replies with an outcome, as an entry VM does.
+func answer(status int, kind, reason, body string) reply {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Fulmarhitch-Request-Id", r.Header.Get("Fulmarhitch-Request-Id"))
+		w.Header().Set("Fulmarhitch-Outcome", kind)
+		w.Header().Set("Fulmarhitch-Reason", reason)
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+// raw replies with bytes, in which ID stands for the request id, and cuts the connection.
+func raw(text string) reply {
+	return func(w http.ResponseWriter, r *http.Request) {
+		c, _, _ := w.(http.Hijacker).Hijack()
+		_, _ = io.WriteString(c, strings.ReplaceAll(text, "ID", r.Header.Get("Fulmarhitch-Request-Id")))
+		_ = c.Close()
+	}
+}
+
+const head = "HTTP/1.1 200 OK\r\nFulmarhitch-Request-Id: ID\r\nFulmarhitch-Outcome: answered\r\n"
+
+var (
+	good     = answer(201, "answered", "", "done")
+	cut      = raw("")
+	isolated = answer(503, "not-run", "isolated", "")
+)
+
+// gone returns an address at which nothing listens.
+func gone() string {
+	l, _ := net.Listen("tcp", "127.0.0.1:0")
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// fleet is a set of fake entry VMs; each runs its reply, or nothing listens at its address.
+type fleet struct {
+	caller *caller.Caller
+	calls  []*atomic.Int64
+	keys   chan string
+	asked  atomic.Int64
+}
+
+func newFleet(t *testing.T, lifetime time.Duration, replies ...reply) *fleet {
+	f := &fleet{keys: make(chan string, 100)}
+	var list []string
+	for i, r := range replies {
+		n := new(atomic.Int64)
+		f.calls = append(f.calls, n)
+		at := gone()
+		if r != nil {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+				n.Add(1)
+				f.keys <- req.Header.Get("Fulmarhitch-Key")
+				r(w, req)
+			}))
+			t.Cleanup(s.Close)
+			at = s.Listener.Addr().String()
+		}
+		list = append(list, fmt.Sprintf(`{"address":%q,"incarnation":"%016x","failure-domain":"d"}`, at, i+1))
+	}
+	entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		f.asked.Add(1)
+		_, _ = fmt.Fprintf(w, `{"generation":1,"lifetime-ms":%d,"now-ms":1700000000000,"addresses":[%s]}`,
+			lifetime.Milliseconds(), strings.Join(list, ","))
+	}))
+	t.Cleanup(entry.Close)
+	f.caller = caller.New(caller.Config{Entries: []string{gone(), entry.Listener.Addr().String()}, MaxAnswer: 1000})
+	t.Cleanup(f.caller.Close)
+	return f
+}
+
+func name(out outcome.Outcome) string {
+	switch out := out.(type) {
+	case outcome.Answered:
+		return fmt.Sprintf("answered %d %s", out.Status, out.Body)
+	case outcome.NotRun:
+		return "not-run " + string(out.Reason)
+	case outcome.Unknown:
+		return "unknown " + string(out.Reason)
+	}
+	return "none"
+}
+
+// TestCall guards against a false "not run", a short success, a mixed-up answer and a second start of a
+// non-idempotent call, under faults of the first address with a sound second one.
+func TestCall(t *testing.T) {
+	first := "0000000000000001.1700000060000.000102030405060708090a0b0c0d0e0f"
+	cases := map[string]struct {
+		first, second reply
+		call          caller.Call
+		want          string
+		calls         [2]int64
+	}{
+		"answered":                 {good, good, caller.Call{}, "answered 201 done", [2]int64{1, 0}},
+		"answered with 503":        {answer(503, "answered", "", "busy"), good, caller.Call{}, "answered 503 busy", [2]int64{1, 0}},
+		"wrong echo":               {raw(strings.Replace(head, "ID", "x", 1) + "Content-Length: 0\r\n\r\n"), good, caller.Call{}, "unknown mismatched", [2]int64{1, 0}},
+		"wrong echo, idempotent":   {raw(strings.Replace(head, "ID", "x", 1) + "Content-Length: 0\r\n\r\n"), good, caller.Call{Idempotent: true}, "answered 201 done", [2]int64{1, 1}},
+		"no outcome":               {answer(503, "", "", ""), good, caller.Call{}, "unknown mismatched", [2]int64{1, 0}},
+		"truncated":                {raw(head + "Content-Length: 9\r\n\r\nhalf"), good, caller.Call{}, "unknown truncated", [2]int64{1, 0}},
+		"truncated, idempotent":    {raw(head + "Content-Length: 9\r\n\r\nhalf"), good, caller.Call{Idempotent: true}, "answered 201 done", [2]int64{1, 1}},
+		"no length":                {raw(head + "\r\nhalf"), good, caller.Call{}, "unknown truncated", [2]int64{1, 0}},
+		"too long":                 {answer(200, "answered", "", strings.Repeat("x", 1001)), good, caller.Call{}, "unknown truncated", [2]int64{1, 0}},
+		"cut after the write":      {cut, good, caller.Call{}, "unknown connection-lost", [2]int64{1, 0}},
+		"cut, idempotent":          {cut, good, caller.Call{Idempotent: true}, "answered 201 done", [2]int64{1, 1}},
+		"cut, then not run":        {cut, isolated, caller.Call{Idempotent: true}, "unknown connection-lost", [2]int64{1, 1}},
+		"cut, repeated":            {cut, good, caller.Call{Repeat: true}, "answered 201 done", [2]int64{1, 1}},
+		"cut, repeated, not run":   {cut, isolated, caller.Call{Repeat: true}, "unknown connection-lost", [2]int64{1, 1}},
+		"old key, not run":         {isolated, isolated, caller.Call{Repeat: true, Key: first}, "unknown connection-lost", [2]int64{1, 1}},
+		"entry VM gone":            {nil, good, caller.Call{}, "answered 201 done", [2]int64{0, 1}},
+		"all gone":                 {nil, nil, caller.Call{}, "not-run unreachable", [2]int64{0, 0}},
+		"all gone, old key":        {nil, nil, caller.Call{Repeat: true, Key: first}, "unknown connection-lost", [2]int64{0, 0}},
+		"isolated":                 {isolated, good, caller.Call{}, "answered 201 done", [2]int64{1, 1}},
+		"ledger full":              {answer(503, "not-run", "ledger-full", ""), good, caller.Call{}, "answered 201 done", [2]int64{1, 1}},
+		"ledger full for this key": {answer(503, "not-run", "ledger-full", ""), good, caller.Call{Key: first}, "not-run ledger-full", [2]int64{1, 0}},
+		"queue full":               {answer(503, "not-run", "queue-full", ""), good, caller.Call{}, "not-run queue-full", [2]int64{1, 0}},
+		"key reused":               {answer(503, "not-run", "key-reused", ""), good, caller.Call{Key: first}, "not-run key-reused", [2]int64{1, 0}},
+		"key expired":              {answer(502, "unknown", "key-expired", ""), good, caller.Call{Key: first}, "unknown key-expired", [2]int64{1, 0}},
+		"malformed key":            {good, good, caller.Call{Key: "1.2.3"}, "not-run bad-request", [2]int64{0, 0}},
+		"GET, not idempotent":      {good, good, caller.Call{Method: http.MethodGet}, "not-run bad-request", [2]int64{0, 0}},
+	}
+	for n, c := range cases {
+		Convey(n, t, func() {
+			f := newFleet(t, time.Minute, c.first, c.second)
+			c.call.Service, c.call.Kind, c.call.Path = "s", "k", "a?b=c"
+			if !c.call.Idempotent {
+				c.call.Body = []byte("body")
+			}
+			So(name(f.caller.Call(context.Background(), c.call)), ShouldEqual, c.want)
+			So([2]int64{f.calls[0].Load(), f.calls[1].Load()}, ShouldEqual, c.calls)
+			f.checkKeys(c.call)
+		})
+	}
+}
+
+// checkKeys checks that calls carry a key only if they need one, that a repeat carries the same key and that a
+// retry after "not run" carries one of the other incarnation.
+func (f *fleet) checkKeys(call caller.Call) {
+	for range f.calls[0].Load() + f.calls[1].Load() {
+		text := <-f.keys
+		if call.Idempotent {
+			So(text, ShouldEqual, "")
+			continue
+		}
+		k, err := key.Parse(text)
+		So(err, ShouldBeNil)
+		So(time.UnixMilli(k.Expiry), ShouldHappenWithin, 10*time.Second, time.UnixMilli(1700000060000))
+		if call.Repeat || call.Key != "" {
+			So(k.Incarnation, ShouldEqual, 1)
+		}
+	}
+}
+
+// TestStaleConnection guards against a non-idempotent call that the transport sends twice after the server cut a
+// kept connection, and against "not run" for a call of which bytes were written.
+func TestStaleConnection(t *testing.T) {
+	Convey("a kept connection is cut while the call is written", t, func() {
+		var n atomic.Int64
+		f := newFleet(t, time.Minute, func(w http.ResponseWriter, r *http.Request) {
+			if n.Add(1) == 1 {
+				good(w, r)
+				return
+			}
+			c, _, _ := w.(http.Hijacker).Hijack()
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		})
+		for _, size := range []int{1, 8 << 20} {
+			n.Store(0)
+			call := caller.Call{Service: "s", Kind: "k", Body: []byte("x"), Header: http.Header{"Idempotency-Key": {"k"}}}
+			So(name(f.caller.Call(context.Background(), call)), ShouldEqual, "answered 201 done")
+			call.Body = make([]byte, size)
+			So(name(f.caller.Call(context.Background(), call)), ShouldEqual, "unknown connection-lost")
+			So(n.Load(), ShouldEqual, 2)
+		}
+	})
+	Convey("a connection is closed before the call", t, func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		defer l.Close()
+		closed := make(chan struct{})
+		go func() {
+			c, _ := l.Accept()
+			r, _ := http.ReadRequest(bufio.NewReader(c))
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 118\r\n\r\n"+
+				`{"generation":1,"lifetime-ms":60000,"now-ms":1,"addresses":[{"address":%-21q,"incarnation":"0000000000000001"}]}`, l.Addr())
+			_, _ = r, c.Close()
+			_ = l.Close()
+			close(closed)
+		}()
+		c := caller.New(caller.Config{Entries: []string{l.Addr().String()}})
+		defer c.Close()
+		_, _ = c.Addresses(context.Background(), "s")
+		<-closed
+		So(name(c.Call(context.Background(), caller.Call{Service: "s", Kind: "k"})), ShouldEqual, "not-run unreachable")
+	})
+}
+
+// TestDeadline guards against a call that outlasts its deadline and against "not run" for one that was sent.
+func TestDeadline(t *testing.T) {
+	Convey("the entry VM doesn't answer", t, func() {
+		release := make(chan struct{})
+		f := newFleet(t, time.Minute, func(http.ResponseWriter, *http.Request) { <-release }, good)
+		defer close(release)
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		So(name(f.caller.Call(ctx, caller.Call{Service: "s", Kind: "k"})), ShouldEqual, "unknown timeout")
+		So(f.calls[1].Load(), ShouldEqual, 0)
+	})
+	Convey("the deadline is over before the call", t, func() {
+		f := newFleet(t, time.Minute, good)
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		So(name(f.caller.Call(ctx, caller.Call{Service: "s", Kind: "k"})), ShouldEqual, "not-run unreachable")
+		So(f.calls[0].Load(), ShouldEqual, 0)
+	})
+}
+
+// TestLifetime guards against the use of an address answer after its lifetime, when the entry VM may be gone, and
+// against a question for each call within it.
+func TestLifetime(t *testing.T) {
+	cases := map[string]struct {
+		lifetime time.Duration
+		asked    int64
+	}{"kept": {time.Minute, 1}, "expired": {0, 3}}
+	for n, c := range cases {
+		Convey(n, t, func() {
+			f := newFleet(t, c.lifetime, good)
+			for range 3 {
+				f.caller.Call(context.Background(), caller.Call{Service: "s", Kind: "k"})
+			}
+			So(f.asked.Load(), ShouldEqual, c.asked)
+		})
+	}
+}
