Add the programs fulmarhitch and load

The load generator is open-loop with a Poisson process, because a closed loop slows down with the system that it measures and hides the tail.

--- /dev/null
+++ b/cmd/fulmarhitch/check.go
@@ -0,0 +1,30 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fulmarhitch/fulmarhitch/declaration"
+	"github.com/fulmarhitch/fulmarhitch/finding"
+)
+
+type checkCommand struct {
+	File string `arg:"" help:"Operators' file."`
+}
+
+// Run prints one line for each finding.
+func (c *checkCommand) Run(out output) error {
+	text, err := readLimited(c.File)
+	if err != nil {
+		return fail(refused, errors.Wrap(err, "check"))
+	}
+	if _, err = declaration.Parse(c.File, text); err == nil {
+		return nil
+	}
+	findings := finding.Of(err)
+	for _, f := range findings {
+		_, _ = fmt.Fprintln(out.stdout, f)
+	}
+	return fail(refused, errors.Newf("check: %s has %d findings", c.File, len(findings)))
+}
--- /dev/null
+++ b/cmd/fulmarhitch/doc.go
@@ -0,0 +1,12 @@
+// Fulmarhitch is the program of the entry VMs and of their operators.
+//
+// Exit statuses of all commands but run:
+//
+//	0   in force, answered, or no findings
+//	1   refused, not run, or findings
+//	2   unknown or unavailable; the operation may have taken effect
+//	80  the command line can't be parsed
+//
+// After status 2 of submit, submit the same file again with the same base and the same --id. After status 2 of call,
+// repeat a non-idempotent call with --repeat-key.
+package main
--- /dev/null
+++ b/cmd/fulmarhitch/run.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"github.com/fulmarhitch/fulmarhitch/settings"
+)
+
+type runCommand struct {
+	Settings string `help:"Settings file." required:"" type:"path"`
+}
+
+// Run runs the process of an entry VM until it is told to stop.
+func (c *runCommand) Run() error {
+	text, err := readLimited(c.Settings)
+	if err != nil {
+		return fail(refused, errors.Wrap(err, "run"))
+	}
+	s, err := settings.Parse(c.Settings, text)
+	if err != nil {
+		return fail(refused, err)
+	}
+	return runEntry(s)
+}
+
+// runEntry starts the entry services with the settings.
+func runEntry(*settings.Settings) error {
+	return errors.New("entry: not built yet")
+}
--- /dev/null
+++ b/load/direct.go
@@ -0,0 +1,51 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/fulmarhitch/fulmarhitch/caller"
+	"github.com/fulmarhitch/fulmarhitch/outcome"
+)
+
+const headerRequestID = "Fulmarhitch-Request-Id"
+
+// callDirect sends the call to the upstream as an entry VM would, without any balancing. Its outcome serves the
+// measurement only: every failure is unknown.
+func (l *Load) callDirect(ctx context.Context, call caller.Call) outcome.Outcome {
+	method := http.MethodPost
+	if call.Idempotent {
+		method = http.MethodGet
+	}
+	target := "http://" + l.config.Direct + "/" + call.Kind + "/" + call.Path
+	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(call.Body))
+	if err != nil {
+		return outcome.NotRun{Reason: outcome.BadRequest, Detail: err.Error()}
+	}
+	id := rand.Text()
+	deadline, _ := ctx.Deadline()
+	req.Header.Set(headerRequestID, id)
+	req.Header.Set("Fulmarhitch-Deadline-Ms", strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
+	req.Header.Set("Fulmarhitch-Depth", "0")
+	resp, err := l.direct.RoundTrip(req)
+	if err != nil {
+		return outcome.Unknown{Reason: outcome.ConnectionLost, Detail: err.Error()}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, 64<<20))
+	if err != nil {
+		return outcome.Unknown{Reason: outcome.Truncated, Detail: err.Error()}
+	}
+	if resp.Header.Get(headerRequestID) != id {
+		return outcome.Unknown{Reason: outcome.Mismatched}
+	}
+	if resp.Header.Get("Upstream-Refused") != "" {
+		return outcome.NotRun{Reason: outcome.Refused}
+	}
+	return outcome.Answered{Status: resp.StatusCode, Header: resp.Header, Body: body}
+}
--- /dev/null
+++ b/load/load.go
@@ -0,0 +1,147 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fulmarhitch/fulmarhitch/caller"
+	"github.com/fulmarhitch/fulmarhitch/outcome"
+)
+
+// Load is one run of the generator.
+type Load struct {
+	config   Config
+	caller   *caller.Caller
+	direct   *http.Transport
+	body     []byte
+	total    float64
+	results  map[line]*result
+	inFlight atomic.Int64
+}
+
+// Ways of a call.
+const (
+	ViaEntry = "entry"
+	Direct   = "direct"
+)
+
+// line identifies one line of the report.
+type line struct {
+	way   string
+	share int
+}
+
+// New checks the configuration; the error carries all findings.
+func New(config Config) (*Load, error) {
+	if err := config.check(); err != nil {
+		return nil, err
+	}
+	if config.InFlight == 0 {
+		config.InFlight = MaxInFlight
+	}
+	l := &Load{config: config, body: bytes.Repeat([]byte("x"), config.Body), results: make(map[line]*result)}
+	for i, s := range config.Mix {
+		l.total += s.Weight
+		for _, way := range l.ways() {
+			l.results[line{way, i}] = newResult()
+		}
+	}
+	l.caller = caller.New(caller.Config{
+		Entries: config.Entries, FailureDomain: config.FailureDomain, Token: config.Token, MaxConnections: 1024,
+	})
+	l.direct = &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1024, MaxConnsPerHost: 1024}
+	return l, nil
+}
+
+// ways returns the ways that calls take in turn.
+func (l *Load) ways() []string {
+	var ways []string
+	if len(l.config.Entries) > 0 {
+		ways = append(ways, ViaEntry)
+	}
+	if l.config.Direct != "" {
+		ways = append(ways, Direct)
+	}
+	return ways
+}
+
+// Run sends the load until its duration is over or ctx is done, waits for the calls in progress and reports.
+func (l *Load) Run(ctx context.Context) Report {
+	defer l.caller.Close()
+	defer l.direct.CloseIdleConnections()
+	random := rand.New(rand.NewPCG(l.config.Seed, 0))
+	ways := l.ways()
+	start := time.Now()
+	arrival := start
+	var calls sync.WaitGroup
+	for n := 0; ; n++ {
+		arrival = arrival.Add(time.Duration(random.ExpFloat64() / l.config.Rate * float64(time.Second)))
+		share := l.choose(random.Float64())
+		if arrival.Sub(start) >= l.config.Duration || !sleepUntil(ctx, arrival) {
+			break
+		}
+		at := line{ways[n%len(ways)], share}
+		if l.inFlight.Add(1) > int64(l.config.InFlight) {
+			l.inFlight.Add(-1)
+			l.results[at].drop()
+			continue
+		}
+		due := arrival
+		calls.Go(func() {
+			defer l.inFlight.Add(-1)
+			l.call(ctx, at, due)
+		})
+	}
+	calls.Wait()
+	return l.report(time.Since(start))
+}
+
+// choose returns the index of the share at the part of the total weight, 0 to 1.
+func (l *Load) choose(part float64) int {
+	rest := part * l.total
+	for i, s := range l.config.Mix {
+		if rest -= s.Weight; rest < 0 {
+			return i
+		}
+	}
+	return len(l.config.Mix) - 1
+}
+
+// sleepUntil returns false if ctx is done first.
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	wait := time.Until(at)
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (l *Load) call(ctx context.Context, at line, due time.Time) {
+	share := l.config.Mix[at.share]
+	// Calls in progress finish after the run is cancelled, so that each has an outcome of its own.
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), due.Add(share.Timeout))
+	defer cancel()
+	call := caller.Call{Service: share.Service, Kind: share.Kind, Path: l.config.Path, Idempotent: share.Idempotent}
+	if !share.Idempotent {
+		call.Body = l.body
+	}
+	var out outcome.Outcome
+	if at.way == Direct {
+		out = l.callDirect(ctx, call)
+	} else {
+		out = l.caller.Call(ctx, call)
+	}
+	l.results[at].add(out, time.Since(due))
+}
