Check calls before sending and ask the last good entry first

A path with dot segments or a name with a slash made an HTTP server answer with a redirect, which carries no outcome, so that a call which never ran was reported as unknown. Such calls are refused as not run. A dead first entry cost a connection attempt for each new address answer.

--- a/caller/addresses.go
+++ b/caller/addresses.go
@@ -86,11 +86,11 @@
 
 func (c *Caller) ask(ctx context.Context, service string) (*Addresses, error) {
 	err := errors.New("caller: no entries are configured")
-	for _, entry := range c.config.Entries {
+	for _, entry := range c.entries(service) {
 		var a *Addresses
 		if a, err = c.askOne(ctx, entry, service); err == nil {
 			c.mu.Lock()
-			c.cached[service] = a
+			c.cached[service], c.entry = a, entry
 			c.mu.Unlock()
 			return a, nil
 		}
@@ -98,6 +98,25 @@
 	return nil, err
 }
 
+// entries returns the addresses to ask: the one that answered last, the configured ones, and those of the last
+// answer, which are of use when all configured VMs were replaced.
+func (c *Caller) entries(service string) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	all := slices.Clone(c.config.Entries)
+	if a := c.cached[service]; a != nil {
+		for _, x := range a.Addresses {
+			if !slices.Contains(all, x.Address) {
+				all = append(all, x.Address)
+			}
+		}
+	}
+	if i := slices.Index(all, c.entry); i > 0 {
+		all = slices.Insert(slices.Delete(all, i, i+1), 0, c.entry)
+	}
+	return all
+}
+
 func (c *Caller) askOne(ctx context.Context, entry, service string) (*Addresses, error) {
 	ctx, cancel := context.WithTimeout(ctx, addressTimeout)
 	defer cancel()
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -1,14 +1,19 @@
 package caller
 
 import (
+	"cmp"
 	"context"
 	"net/http"
+	"net/url"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/singleflight"
 
+	"github.com/fulmarhitch/fulmarhitch/document"
 	"github.com/fulmarhitch/fulmarhitch/key"
 	"github.com/fulmarhitch/fulmarhitch/outcome"
 )
@@ -32,7 +37,7 @@
 // Call is one request of a caller.
 type Call struct {
 	Service, Kind string
-	// Path has no leading slash and may carry a query.
+	// Path is in escaped form, has no leading slash and no dot segments and may carry a query.
 	Path string
 	// Method is the HTTP method; empty means GET for idempotent kinds and POST for others.
 	Method string
@@ -57,6 +62,8 @@
 
 	mu     sync.Mutex
 	cached map[string]*Addresses
+	// entry is the entry that answered last; it is asked first.
+	entry string
 	// failed holds the time of the last failed connection attempt by address.
 	failed map[string]time.Time
 }
@@ -107,17 +114,36 @@
 			call.Method = http.MethodGet
 		}
 	}
+	if wrong := call.check(); wrong != "" {
+		return outcome.NotRun{Reason: outcome.BadRequest, Detail: wrong}
+	}
+	ctx, cancel := withDeadline(ctx)
+	defer cancel()
+	return c.deliver(ctx, call)
+}
+
+// check returns what is wrong with the call, or "".
+func (call *Call) check() string {
+	if wrong := cmp.Or(document.Name(call.Service), document.Name(call.Kind)); wrong != "" {
+		return wrong
+	}
 	if !call.Idempotent && call.Method != http.MethodPost {
-		return outcome.NotRun{Reason: outcome.BadRequest, Detail: "a non-idempotent kind accepts only POST"}
+		return "a non-idempotent kind accepts only POST"
 	}
 	if call.Key != "" {
 		if _, err := key.Parse(call.Key); err != nil {
-			return outcome.NotRun{Reason: outcome.BadRequest, Detail: err.Error()}
+			return err.Error()
 		}
 	}
-	ctx, cancel := withDeadline(ctx)
-	defer cancel()
-	return c.deliver(ctx, call)
+	u, err := url.Parse("/" + call.Path)
+	if err != nil || strings.Contains(call.Path, "#") {
+		return "the path is malformed"
+	}
+	// An HTTP server redirects such a path, and a redirect has no outcome.
+	if segments := strings.Split(u.Path, "/"); slices.Contains(segments, ".") || slices.Contains(segments, "..") {
+		return "the path has dot segments"
+	}
+	return ""
 }
 
 const defaultTimeout = 30 * time.Second
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -146,12 +146,13 @@
 		"key reused":               {answer(503, "not-run", "key-reused", ""), good, caller.Call{Key: first}, "not-run key-reused", [2]int64{1, 0}},
 		"key expired":              {answer(502, "unknown", "key-expired", ""), good, caller.Call{Key: first}, "unknown key-expired", [2]int64{1, 0}},
 		"malformed key":            {good, good, caller.Call{Key: "1.2.3"}, "not-run bad-request", [2]int64{0, 0}},
+		"dot segments":             {good, good, caller.Call{Path: "a/%2e%2e/b"}, "not-run bad-request", [2]int64{0, 0}},
 		"GET, not idempotent":      {good, good, caller.Call{Method: http.MethodGet}, "not-run bad-request", [2]int64{0, 0}},
 	}
 	for n, c := range cases {
 		Convey(n, t, func() {
 			f := newFleet(t, time.Minute, c.first, c.second)
-			c.call.Service, c.call.Kind, c.call.Path = "s", "k", "a?b=c"
+			c.call.Service, c.call.Kind = "s", "k"
 			if !c.call.Idempotent {
 				c.call.Body = []byte("body")
 			}
@@ -240,7 +241,7 @@
 		f := newFleet(t, time.Minute, good)
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
-		So(name(f.caller.Call(ctx, caller.Call{Service: "s", Kind: "k"})), ShouldEqual, "not-run unreachable")
+		So(name(f.caller.Call(ctx, caller.Call{Service: "s", Kind: "k"})), ShouldEqual, "not-run deadline-unreachable")
 		So(f.calls[0].Load(), ShouldEqual, 0)
 	})
 }
--- a/caller/deliver.go
+++ b/caller/deliver.go
@@ -10,13 +10,10 @@
 func (c *Caller) deliver(ctx context.Context, call Call) outcome.Outcome {
 	addresses, err := c.Addresses(ctx, call.Service)
 	if err != nil {
-		return c.undelivered(call, err.Error())
+		return conclude(nil, before(call), undelivered(ctx, err.Error()))
 	}
 	// An earlier delivery may have run, so that its unknown outcome outweighs a later "not run".
-	var earlier outcome.Outcome
-	if call.Key != "" && call.Repeat {
-		earlier = outcome.Unknown{Reason: outcome.ConnectionLost, Detail: "the key was sent before"}
-	}
+	earlier := before(call)
 	var last outcome.Outcome
 	detail := "no address was reachable"
 	tries := 0
@@ -47,7 +44,23 @@
 			call.Key = send.Key
 		}
 	}
-	return conclude(last, earlier, outcome.NotRun{Reason: outcome.Unreachable, Detail: detail})
+	return conclude(last, earlier, undelivered(ctx, detail))
+}
+
+// before returns what is known of a call whose key was sent before, or nil.
+func before(call Call) outcome.Outcome {
+	if call.Key != "" && call.Repeat {
+		return outcome.Unknown{Reason: outcome.ConnectionLost, Detail: "the key was sent before"}
+	}
+	return nil
+}
+
+// undelivered returns the outcome of a call of which no byte was written.
+func undelivered(ctx context.Context, detail string) outcome.Outcome {
+	if ctx.Err() != nil {
+		return outcome.NotRun{Reason: outcome.DeadlineUnreachable, Detail: detail}
+	}
+	return outcome.NotRun{Reason: outcome.Unreachable, Detail: detail}
 }
 
 // conclude returns the outcome of all deliveries: the last one, unless it says "not run" after an unknown one.
@@ -61,13 +74,6 @@
 	return last
 }
 
-func (c *Caller) undelivered(call Call, detail string) outcome.Outcome {
-	if call.Key != "" && call.Repeat {
-		return outcome.Unknown{Reason: outcome.Unreachable, Detail: detail}
-	}
-	return outcome.NotRun{Reason: outcome.Unreachable, Detail: detail}
-}
-
 // again tells whether another address may do better. Reasons that hold at every address, or for which the home has
 // already used the retry budget, are final, because retries at several levels multiply.
 func again(call Call, out outcome.Outcome) bool {
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -6,7 +6,6 @@
 	"crypto/rand"
 	"io"
 	"net/http"
-	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -65,15 +64,13 @@
 }
 
 func (c *Caller) request(ctx context.Context, to Address, call Call, id string) (*http.Request, error) {
-	path, query, _ := strings.Cut(call.Path, "?")
-	target := url.URL{Scheme: "http", Host: to.Address, RawQuery: query}
-	target.Path = "/v1/call/" + call.Service + "/" + call.Kind + "/" + path
+	target := "http://" + to.Address + "/v1/call/" + call.Service + "/" + call.Kind + "/" + call.Path
 	// The body has a type that the HTTP library can't rewind, so that its transport never sends it twice.
 	var body io.Reader
 	if len(call.Body) > 0 {
 		body = struct{ io.Reader }{bytes.NewReader(call.Body)}
 	}
-	req, err := http.NewRequestWithContext(ctx, call.Method, target.String(), body)
+	req, err := http.NewRequestWithContext(ctx, call.Method, target, body)
 	if err != nil {
 		return nil, err
 	}
