--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -263,3 +263,16 @@
 		})
 	}
 }
+
+// TestRequest guards against a path, query or header that reaches the entry VM in another form than the caller gave.
+func TestRequest(t *testing.T) {
+	Convey("the entry VM sees the call as given", t, func() {
+		f := newFleet(t, time.Minute, func(w http.ResponseWriter, r *http.Request) {
+			body, _ := io.ReadAll(r.Body)
+			answer(200, "answered", "", fmt.Sprint(r.Method, " ", r.RequestURI, " ", r.Header["X-A"], r.Header["Fulmarhitch-Depth"], string(body)))(w, r)
+		})
+		call := caller.Call{Service: "s", Kind: "k", Path: "a%2Fb/%C3%A9?c=d%20e", Depth: 3, Header: http.Header{"x-a": {"1", "2"}}, Body: []byte("x")}
+		So(name(f.caller.Call(context.Background(), call)), ShouldEqual,
+			"answered 200 POST /v1/call/s/k/a%2Fb/%C3%A9?c=d%20e [1 2][3]x")
+	})
+}
--- a/declaration/parse_test.go
+++ b/declaration/parse_test.go
@@ -103,6 +103,7 @@
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(whole))
 	f.Add([]byte("a = [[1], [2]]\nservice = [{}]\n"))
+	f.Add([]byte("a = " + strings.Repeat("[", 1<<10)))
 	f.Add([]byte("[[service]]\n[[service.kind]]\n[service.kind.x]\n"))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		d, err := declaration.Parse("f.toml", text)
