--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -273,6 +273,6 @@
 		})
 		call := caller.Call{Service: "s", Kind: "k", Path: "a%2Fb/%C3%A9?c=d%20e", Depth: 3, Header: http.Header{"x-a": {"1", "2"}}, Body: []byte("x")}
 		So(name(f.caller.Call(context.Background(), call)), ShouldEqual,
-			"answered 200 POST /v1/call/s/k/a%2Fb/%C3%A9?c=d%20e [1 2][3]x")
+			"answered 200 POST /v1/call/s/k/a%2Fb/%C3%A9?c=d%20e [1 2] [3]x")
 	})
 }
