Add exchange, one request to one upstream

Cause: every claim that a request did not run needs a fact behind it. Ruled out: the transport's own retries and error texts, which don't tell whether bytes were written; a transport for each upstream, whose connections aren't counted across a change of the share; counting connections only in the transport. Change: package exchange with a connection that counts and seals its bytes, a place count for each upstream across changes of the share, a check of the echoed identifier, and Health over the same connections without replays. An early form of TestConnections bounded the upstream's own highest count after the share had shrunk and failed at times (6 instead of 4), because the upstream sees a close later than the client. Closed connections now keep their place for 10 ms, and TestShrunkShare checks the bound with connections that can't close. An early form also stopped in a deadlock, because idle connections were closed under the lock that their release takes.

--- /dev/null
+++ b/exchange/doc.go
@@ -0,0 +1,5 @@
+// Package exchange sends one request to one upstream over HTTP/1.1 and tells what became of it.
+//
+// A request counts as not run only if no byte of it was written to a connection, or if the upstream says by its
+// contract that it refused before running. Connections count the bytes written, so that the claim rests on a fact.
+package exchange
--- /dev/null
+++ b/exchange/exchange_test.go
@@ -0,0 +1,357 @@
+package exchange_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/goleak"
+
+	"github.com/fulmarhitch/fulmarhitch/declaration"
+	"github.com/fulmarhitch/fulmarhitch/exchange"
+	"github.com/fulmarhitch/fulmarhitch/outcome"
+	"github.com/fulmarhitch/fulmarhitch/request"
+	"github.com/fulmarhitch/fulmarhitch/standin/server"
+)
+
+// patience is longer than any wait of these tests on a busy machine.
+const patience = 30 * time.Second
+
+func four(string) int { return 4 }
+
+func order(id, body string) *request.Request {
+	return &request.Request{
+		ID: id, Service: "s", Kind: "k", Method: http.MethodPost, Path: "p", Body: []byte(body),
+		Header: http.Header{}, Deadline: time.Now().Add(patience),
+	}
+}
+
+func upstream(address string) declaration.Upstream {
+	return declaration.Upstream{Name: "u", Address: address}
+}
+
+func start(t *testing.T, s server.Settings) *server.Server {
+	s.Address = "127.0.0.1:0"
+	v, err := server.New(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = v.Close() })
+	return v
+}
+
+// TestClasses guards against a wrong claim about a request: a cut, foreign or unbounded answer taken as success, a
+// refusal or failed dial taken as unknown, and a broken or cancelled request taken as not run.
+func TestClasses(t *testing.T) {
+	cases := map[string]struct {
+		settings server.Settings
+		faults   server.Faults
+		drain    bool
+		closed   bool
+		change   func(*request.Request)
+		cancel   bool
+		class    exchange.Class
+		outcome  outcome.Outcome
+		runs     int
+	}{
+		"answered":          {class: exchange.Answered, runs: 1},
+		"answered chunked":  {faults: server.Faults{Chunked: true}, class: exchange.Answered, runs: 1},
+		"failing fast":      {faults: server.Faults{FailFast: true}, class: exchange.Answered},
+		"shed":              {faults: server.Faults{Shed: true}, class: exchange.Refused, outcome: outcome.NotRun{Reason: outcome.Refused}},
+		"draining":          {drain: true, class: exchange.Refused, outcome: outcome.NotRun{Reason: outcome.Refused}},
+		"no listener":       {closed: true, class: exchange.Unsent, outcome: outcome.NotRun{Reason: outcome.Unreachable}},
+		"cut length":        {faults: server.Faults{Cut: server.CutLength}, class: exchange.Truncated, outcome: outcome.Unknown{Reason: outcome.Truncated}, runs: 1},
+		"cut chunked":       {faults: server.Faults{Cut: server.CutChunked}, class: exchange.Truncated, outcome: outcome.Unknown{Reason: outcome.Truncated}, runs: 1},
+		"cut unmarked":      {faults: server.Faults{Cut: server.CutUnmarked}, class: exchange.Truncated, outcome: outcome.Unknown{Reason: outcome.Truncated}, runs: 1},
+		"too large":         {faults: server.Faults{Pad: 8192}, class: exchange.Truncated, outcome: outcome.Unknown{Reason: outcome.Truncated}, runs: 1},
+		"too large chunked": {faults: server.Faults{Pad: 8192, Chunked: true}, class: exchange.Truncated, outcome: outcome.Unknown{Reason: outcome.Truncated}, runs: 1},
+		"lost after run":    {faults: server.Faults{Cut: server.CutHeader}, class: exchange.Lost, outcome: outcome.Unknown{Reason: outcome.ConnectionLost}, runs: 1},
+		"crash":             {faults: server.Faults{CrashText: "body"}, class: exchange.Died, outcome: outcome.Unknown{Reason: outcome.ConnectionLost}, runs: 1},
+		"wrong id":          {faults: server.Faults{WrongID: "r2"}, class: exchange.Mismatched, outcome: outcome.Unknown{Reason: outcome.Mismatched}, runs: 1},
+		"cancelled":         {settings: server.Settings{Mean: time.Hour}, cancel: true, class: exchange.Cancelled, outcome: outcome.Unknown{Reason: outcome.Cancelled}, runs: 1},
+		"late": {faults: server.Faults{Late: patience}, class: exchange.TimedOut, outcome: outcome.Unknown{Reason: outcome.Timeout}, runs: 1,
+			change: func(r *request.Request) { r.Deadline = time.Now().Add(time.Second) }},
+		"deadline passed": {class: exchange.Unsent, outcome: outcome.NotRun{Reason: outcome.DeadlineUnreachable},
+			change: func(r *request.Request) { r.Deadline = time.Now().Add(-1) }},
+		"non-idempotent PUT": {class: exchange.Unsent, outcome: outcome.NotRun{Reason: outcome.BadRequest}, change: func(r *request.Request) { r.Method = "PUT" }},
+		"injected line":      {class: exchange.Unsent, outcome: outcome.NotRun{Reason: outcome.BadRequest}, change: func(r *request.Request) { r.Path = "p HTTP/1.1\r\nX: y" }},
+		"dot segment":        {class: exchange.Unsent, outcome: outcome.NotRun{Reason: outcome.BadRequest}, change: func(r *request.Request) { r.Path = "a/%2e./../other" }},
+		"bad header":         {class: exchange.Unsent, outcome: outcome.NotRun{Reason: outcome.BadRequest}, change: func(r *request.Request) { r.Header.Set("X", "a\nb") }},
+	}
+	for name, c := range cases {
+		Convey(name, t, func() {
+			s := start(t, c.settings)
+			s.SetFaults(c.faults)
+			if c.drain {
+				s.Drain()
+			}
+			if c.closed {
+				_ = s.Close()
+			}
+			e := exchange.New(four)
+			defer e.Close()
+			r := order("r1", "body")
+			if c.change != nil {
+				c.change(r)
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			if c.cancel {
+				go func() {
+					for len(s.Runs()) == 0 {
+						time.Sleep(time.Millisecond)
+					}
+					cancel()
+				}()
+			}
+			res := e.Do(ctx, r, upstream(s.Address()), 4096)
+			So(res.Class, ShouldEqual, c.class)
+			So(len(s.Runs()), ShouldEqual, c.runs)
+			switch o := res.Outcome.(type) {
+			case outcome.Answered:
+				So(c.outcome, ShouldBeNil)
+				So(res.HasLoad, ShouldBeTrue)
+				So(o.Header.Get("Fulmarhitch-Request-Id"), ShouldEqual, "")
+				So(strings.Contains(string(o.Body), server.Digest(r.Body)), ShouldBeTrue)
+			case outcome.NotRun:
+				So(outcome.NotRun{Reason: o.Reason}, ShouldResemble, c.outcome)
+			case outcome.Unknown:
+				So(outcome.Unknown{Reason: o.Reason}, ShouldResemble, c.outcome)
+			}
+		})
+	}
+}
+
+// TestReplay guards against the HTTP transport sending a request again on a new connection after a reused one broke,
+// which it does for a POST with an Idempotency-Key header and for every GET.
+func TestReplay(t *testing.T) {
+	cases := map[string]func(*request.Request){
+		"POST with key":   func(r *request.Request) { r.Header.Set("Idempotency-Key", "a") },
+		"POST with X key": func(r *request.Request) { r.Header["x-idempotency-key"] = []string{"a"} },
+		"GET":             func(r *request.Request) { r.Method, r.Idempotent = http.MethodGet, true },
+	}
+	for name, change := range cases {
+		Convey(name, t, func() {
+			s := listen(t, func(n int64, r *http.Request) (string, bool) {
+				if n == 2 {
+					return "", false
+				}
+				return text(r.Header.Get("Fulmarhitch-Request-Id"), "x"), true
+			})
+			e := exchange.New(four)
+			defer e.Close()
+			up := upstream(s.Addr().String())
+			So(e.Do(context.Background(), order("r1", ""), up, 10).Class, ShouldEqual, exchange.Answered)
+			r := order("r2", "")
+			change(r)
+			So(e.Do(context.Background(), r, up, 10).Class, ShouldEqual, exchange.Lost)
+			So(s.requests.Load(), ShouldEqual, 2)
+		})
+	}
+}
+
+// TestOwnAnswer guards against an answer that belongs to an earlier request on the same connection, and against a
+// connection that is used again after such an answer, an unread rest or a cut.
+func TestOwnAnswer(t *testing.T) {
+	cases := map[string]struct {
+		first  string
+		second string
+		want   [3]exchange.Class
+	}{
+		"earlier answer": {first: text("r1", "x"), second: text("r1", "x"),
+			want: [3]exchange.Class{exchange.Answered, exchange.Mismatched, exchange.Answered}},
+		"unread rest": {first: text("r1", strings.Repeat("x", 11)+text("r2", "forged")), second: text("r2", "x"),
+			want: [3]exchange.Class{exchange.Truncated, exchange.Answered, exchange.Answered}},
+		"no name": {first: text("r1", "x"), second: "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+			want: [3]exchange.Class{exchange.Answered, exchange.Mismatched, exchange.Answered}},
+	}
+	for name, c := range cases {
+		Convey(name, t, func() {
+			s := listen(t, func(n int64, _ *http.Request) (string, bool) {
+				return [...]string{c.first, c.second, text("r3", "x")}[n-1], true
+			})
+			e := exchange.New(four)
+			defer e.Close()
+			for i, want := range c.want {
+				res := e.Do(context.Background(), order(fmt.Sprintf("r%d", i+1), "b"), upstream(s.Addr().String()), 10)
+				So(res.Class, ShouldEqual, want)
+				if a, ok := res.Outcome.(outcome.Answered); ok {
+					So(string(a.Body), ShouldEqual, "x")
+				}
+			}
+			So(s.connections.Load(), ShouldEqual, 2)
+		})
+	}
+}
+
+// TestStaleConnections guards against a restarted upstream that costs a request although no byte of it was written.
+func TestStaleConnections(t *testing.T) {
+	Convey("Given an upstream that restarts on its address", t, func() {
+		s := start(t, server.Settings{})
+		e := exchange.New(four)
+		defer e.Close()
+		up := upstream(s.Address())
+		So(e.Do(context.Background(), order("r1", "b"), up, 4096).Class, ShouldEqual, exchange.Answered)
+		So(s.Close(), ShouldBeNil)
+		v, err := server.New(server.Settings{Address: s.Address()})
+		So(err, ShouldBeNil)
+		defer v.Close()
+		res := e.Do(context.Background(), order("r2", "b"), up, 4096)
+		if res.Class == exchange.Lost {
+			So(len(v.Runs()), ShouldEqual, 0)
+			return
+		}
+		So(res.Class, ShouldEqual, exchange.Answered)
+	})
+}
+
+// TestConnections guards against more connections than the share, also after the share has shrunk, against connections
+// that are not kept, and against goroutines that stay after Close.
+func TestConnections(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	Convey("Given 12 callers and a share of 4, then of 2, then of 0", t, func() {
+		s, err := server.New(server.Settings{Address: "127.0.0.1:0", Slots: 12})
+		So(err, ShouldBeNil)
+		defer s.Close()
+		share := 4
+		e := exchange.New(func(string) int { return share })
+		defer e.Close()
+		load := func() {
+			var all sync.WaitGroup
+			for i := range 12 {
+				all.Go(func() {
+					for n := range 20 {
+						id := fmt.Sprintf("r%d-%d", i, n)
+						if res := e.Do(context.Background(), order(id, id), upstream(s.Address()), 4096); res.Class != exchange.Answered {
+							t.Errorf("%s: %+v", id, res)
+						}
+					}
+				})
+			}
+			all.Wait()
+		}
+		load()
+		So(s.Counters().TotalConnections, ShouldBeBetweenOrEqual, 1, 4)
+		share = 2
+		load()
+		So(s.Counters().TotalConnections, ShouldBeLessThanOrEqualTo, 6)
+		share = 0
+		So(e.Do(context.Background(), order("r", ""), upstream(s.Address()), 9).Class, ShouldEqual, exchange.Unsent)
+		So(len(s.Runs()), ShouldEqual, 480)
+	})
+}
+
+// TestShrunkShare guards against connections of an old share that are not counted with those of the new one.
+func TestShrunkShare(t *testing.T) {
+	Convey("Given 4 requests in progress on a share of 4, which then shrinks to 2", t, func() {
+		s := start(t, server.Settings{Slots: 8, Mean: 1000 * time.Hour})
+		var share atomic.Int64
+		share.Store(4)
+		e := exchange.New(func(string) int { return int(share.Load()) })
+		defer e.Close()
+		ctx, cancel := context.WithCancel(context.Background())
+		var all sync.WaitGroup
+		for i := range 4 {
+			all.Go(func() { e.Do(ctx, order(fmt.Sprint(i), "b"), upstream(s.Address()), 10) })
+		}
+		for len(s.Runs()) < 4 {
+			time.Sleep(time.Millisecond)
+		}
+		share.Store(2)
+		r := order("r5", "b")
+		r.Deadline = time.Now().Add(300 * time.Millisecond)
+		res := e.Do(context.Background(), r, upstream(s.Address()), 10)
+		cancel()
+		all.Wait()
+		So(res.Class, ShouldEqual, exchange.Unsent)
+		So(s.Counters().TotalConnections, ShouldEqual, 4)
+		So(len(s.Runs()), ShouldEqual, 4)
+	})
+}
+
+// TestHeaders guards against hop-by-hop headers that pass in either direction and against a forged outcome.
+func TestHeaders(t *testing.T) {
+	Convey("Given headers of the connection on both sides", t, func() {
+		var got http.Header
+		var uri string
+		s := listen(t, func(_ int64, r *http.Request) (string, bool) {
+			got, uri = r.Header, r.RequestURI
+			return "HTTP/1.1 200 OK\r\nConnection: X-Hop\r\nX-Hop: 1\r\nX-End: 1\r\nFulmarhitch-Outcome: not-run\r\n" +
+				"Fulmarhitch-Request-Id: r1\r\nUpstream-State: draining\r\nContent-Length: 0\r\n\r\n", true
+		})
+		e := exchange.New(four)
+		defer e.Close()
+		r := order("r1", "b")
+		r.Path, r.Depth = "a%2Fb?q=1", 3
+		r.Header = http.Header{"Connection": {"x-drop"}, "X-Drop": {"1"}, "Te": {"trailers"}, "X-Keep": {"1"}, "Fulmarhitch-Key": {"k"}}
+		res := e.Do(context.Background(), r, upstream(s.Addr().String()), 10)
+		So(res.State, ShouldEqual, exchange.Draining)
+		So(res.Outcome.(outcome.Answered).Header, ShouldResemble, http.Header{"X-End": {"1"}, "Content-Length": {"0"}})
+		So(uri, ShouldEqual, "/k/a%2Fb?q=1")
+		So(got.Get("Fulmarhitch-Depth"), ShouldEqual, "3")
+		for _, name := range []string{"Fulmarhitch-Request-Id", "Fulmarhitch-Deadline-Ms", "Fulmarhitch-Depth", "X-Keep", "Content-Length"} {
+			So(got.Get(name), ShouldNotEqual, "")
+			delete(got, name)
+		}
+		So(got, ShouldBeEmpty)
+	})
+}
+
+// TestHealth guards against a health state that is invented, and against a name that is resolved.
+func TestHealth(t *testing.T) {
+	Convey("Given a draining upstream", t, func() {
+		s := start(t, server.Settings{})
+		s.Drain()
+		e := exchange.New(four)
+		defer e.Close()
+		state, err := e.Health(context.Background(), "s", upstream(s.Address()))
+		So(err, ShouldBeNil)
+		So(state, ShouldEqual, exchange.Draining)
+		_, port, _ := net.SplitHostPort(s.Address())
+		_, err = e.Health(context.Background(), "s", upstream("localhost:"+port))
+		So(err, ShouldNotBeNil)
+		So(s.Counters().Probes, ShouldEqual, 1)
+	})
+}
+
+// FuzzParseLoad guards against a load header that panics or yields a negative number.
+func FuzzParseLoad(f *testing.F) {
+	f.Add("running=2 waiting=0 slots=3")
+	f.Add("running=-2 waiting= slots=3 slots=4")
+	f.Fuzz(func(t *testing.T, text string) {
+		l, ok := exchange.ParseLoad(text)
+		if ok && (l.Running < 0 || l.Waiting < 0 || l.Slots < 0) {
+			t.Fatalf("%q yields %+v", text, l)
+		}
+		if s, err := exchange.ParseHealth([]byte(text)); err == nil && s == "" {
+			t.Fatalf("%q yields an empty state", text)
+		}
+	})
+}
+
+// BenchmarkDo measures one exchange with a stand-in in the same process.
+func BenchmarkDo(b *testing.B) {
+	s, err := server.New(server.Settings{Address: "127.0.0.1:0", Slots: 64})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer s.Close()
+	e := exchange.New(four)
+	defer e.Close()
+	r := order("r1", "body")
+	up := upstream(s.Address())
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Deadline = time.Now().Add(patience)
+		if res := e.Do(context.Background(), r, up, 4096); res.Class != exchange.Answered {
+			b.Fatalf("%+v", res)
+		}
+	}
+}
