State the conditions of the probe guarantees

Cause: the second guarantee left out that a VM may pause between the grant and the sending. Ruled out: dropping late probes, which can't close the gap between a check and the sending. Change: doc comment only.

--- a/probe/doc.go
+++ b/probe/doc.go
@@ -4,8 +4,11 @@
 //
 //   - At most P*W probes in every window of W >= N/P seconds, and at most N in a shorter one. This needs only that at
 //     most N probers run at any time. It doesn't depend on clocks, membership, ranks, restarts or pauses.
-//   - At most P*W probes in every window of W >= 3/P + 2e seconds as well, as long as the ranks of the VMs are distinct
-//     and their clocks are within e of each other.
+//   - At most P*W probes in every window of W >= 3/P + 2e seconds as well, as long as N exceeds P, the ranks of the VMs
+//     are distinct, their clocks are within e of each other and no VM pauses between the grant and the sending.
+//
+// A probe counts at the time at which its upstream receives it while the prober still waits for its answer. A change of P
+// or N takes effect with an empty bucket at each VM that learns of it; until all have learned, the larger budget holds.
 //
 // No scheme without agreement holds a shorter window than N/P whatever the VMs believe: N probers that may each send one
 // probe may all send it at once. The first guarantee is bought by a gap of 2*N/P seconds between the end of a probe and
