--- a/peer/check.go
+++ b/peer/check.go
@@ -3,9 +3,11 @@
 import (
 	"net/netip"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 
 	"github.com/fulmarhitch/fulmarhitch/peerpb"
 	"github.com/fulmarhitch/fulmarhitch/request"
@@ -152,6 +154,12 @@
 			return errors.Wrap(err, "peer")
 		}
 	}
+	if !httpguts.ValidHeaderFieldName(m.GetMethod()) {
+		return errors.Newf("peer: method %q", m.GetMethod())
+	}
+	if strings.ContainsFunc(m.GetPath(), func(r rune) bool { return r <= ' ' || r == 0x7f }) {
+		return errors.Newf("peer: path %q has a space or control character", m.GetPath())
+	}
 	return checkHeaders(m.GetHeaders())
 }
 
@@ -163,9 +171,17 @@
 		if err := checkName("header name", h.GetName()); err != nil {
 			return errors.Wrap(err, "peer")
 		}
+		if !httpguts.ValidHeaderFieldName(h.GetName()) {
+			return errors.Newf("peer: header name %q", h.GetName())
+		}
 		if len(h.GetValues()) > maxHeaders {
 			return errors.Newf("peer: header %q has %d values, at most %d", h.GetName(), len(h.GetValues()), maxHeaders)
 		}
+		for _, v := range h.GetValues() {
+			if !httpguts.ValidHeaderFieldValue(v) {
+				return errors.Newf("peer: header %q has value %q", h.GetName(), v)
+			}
+		}
 	}
 	return nil
 }
--- a/peer/client.go
+++ b/peer/client.go
@@ -8,6 +8,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/fulmarhitch/fulmarhitch/peerpb"
 	"github.com/fulmarhitch/fulmarhitch/peerpb/peerpbconnect"
@@ -122,6 +123,9 @@
 func call[Q, A any](ctx context.Context, c *Client, address string, m *Q,
 	method func(peerpbconnect.PeerClient, context.Context, *connect.Request[Q]) (*connect.Response[A], error),
 ) (*A, error) {
+	if size := proto.Size(any(m).(proto.Message)); size > c.options.MaxMessage {
+		return nil, errors.Mark(errors.Newf("peer: message of %d bytes, at most %d", size, c.options.MaxMessage), ErrUnsent)
+	}
 	p, err := c.pool(address)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "peer: %s", address), ErrUnsent)
@@ -133,7 +137,7 @@
 	k := &carriage{conn: conn}
 	res, err := method(p.client, context.WithValue(ctx, carriageKey{}, k), connect.NewRequest(m))
 	if !k.used {
-		// The message could not be encoded or exceeds its bound.
+		// The message could not be encoded.
 		conn.Release()
 		return nil, errors.Mark(errors.Wrapf(err, "peer: call %s", address), ErrUnsent)
 	}
