--- a/gossip/network_test.go
+++ b/gossip/network_test.go
@@ -27,6 +27,7 @@
 	loss   float64
 	cut    func(from, to string) bool // by VM name; nil cuts nothing
 	bytes  int
+	legs   int
 	serial uint64
 	list   []member.Listed
 }
@@ -153,6 +154,7 @@
 	defer n.mu.Unlock()
 	to, ok := n.vms[address]
 	n.bytes += size
+	n.legs++
 	if !ok || from.down || to.down || n.rnd.Float64() < n.loss || (n.cut != nil && n.cut(from.name, to.name)) {
 		return nil, false
 	}
