--- a/gossip/network_test.go
+++ b/gossip/network_test.go
@@ -27,6 +27,7 @@
 	loss   float64
 	cut    func(from, to string) bool // by VM name; nil cuts nothing
 	bytes  int
+	legs   int
 	serial uint64
 	list   []member.Listed
 }
@@ -82,6 +83,13 @@
 	return vms
 }
 
+// set changes the loss and what is cut.
+func (n *network) set(loss float64, cut func(from, to string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.loss, n.cut = loss, cut
+}
+
 // kill takes the VM off the network and ends its duties.
 func (v *vm) kill() {
 	v.net.mu.Lock()
@@ -153,6 +161,7 @@
 	defer n.mu.Unlock()
 	to, ok := n.vms[address]
 	n.bytes += size
+	n.legs++
 	if !ok || from.down || to.down || n.rnd.Float64() < n.loss || (n.cut != nil && n.cut(from.name, to.name)) {
 		return nil, false
 	}
