Fix a busy loop of the dispatcher after an ejection

Cause: upstream.Next returned the time of a held slot of an ejected upstream after that time had passed, because only Free dropped it. The owner's timer then fired without end. Next takes the current time and returns later times only. TestHealth checks that Next lies in the future.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -142,9 +142,9 @@
 // Tick does what is due because time has passed.
 func (c *Core) Tick(now time.Time) { c.settle(now) }
 
-// Next returns the time at which Tick is due; ok is false if there is none.
-func (c *Core) Next() (next time.Time, ok bool) {
-	next, ok = c.pool.Next()
+// Next returns the time after now at which Tick is due; ok is false if there is none.
+func (c *Core) Next(now time.Time) (next time.Time, ok bool) {
+	next, ok = c.pool.Next(now)
 	if deadline, some := c.queue.Earliest(); some {
 		// A request is dropped once its deadline can't be met, hence just after the last chance.
 		if t := deadline.Add(time.Microsecond - c.pool.Mean()); !ok || t.Before(next) {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -97,7 +97,7 @@
 		}
 		d.publish()
 		// A timer that is armed too early only ticks once too often, so it is set back on demand only.
-		if next, ok := d.core.Next(); ok && (armed.IsZero() || next.Before(armed)) {
+		if next, ok := d.core.Next(time.Now()); ok && (armed.IsZero() || next.Before(armed)) {
 			armed = next
 			timer.Reset(time.Until(next))
 		}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -149,10 +149,10 @@
 	return slices.ContainsFunc(p.members, func(m *member) bool { return !m.state.Leaving() })
 }
 
-// Next returns the next time at which a slot becomes free without a Release; ok is false if there is none.
-func (p *Pool) Next() (next time.Time, ok bool) {
+// Next returns the next time after now at which a slot becomes free without a Release; ok is false if there is none.
+func (p *Pool) Next(now time.Time) (next time.Time, ok bool) {
 	for _, m := range p.members {
-		if t, some := m.state.Next(); some && (!ok || t.Before(next)) {
+		if t, some := m.state.Next(now); some && (!ok || t.Before(next)) {
 			next, ok = t, true
 		}
 	}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -125,14 +125,15 @@
 	return max(limit-u.running-len(u.held), 0)
 }
 
-// Next returns the next time at which a held slot becomes free or an ejection ends; ok is false if there is none.
-func (u *Upstream) Next() (next time.Time, ok bool) {
+// Next returns the next time after now at which a held slot becomes free or an ejection ends; ok is false if there is
+// none.
+func (u *Upstream) Next(now time.Time) (next time.Time, ok bool) {
 	for _, t := range u.held {
-		if !ok || t.Before(next) {
+		if t.After(now) && (!ok || t.Before(next)) {
 			next, ok = t, true
 		}
 	}
-	if u.ejected && (!ok || u.until.Before(next)) {
+	if u.Ejected(now) && (!ok || u.until.Before(next)) {
 		next, ok = u.until, true
 	}
 	return next, ok
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -40,6 +40,10 @@
 			}
 			at := now.Add(c.wait)
 			So(u.Ejected(at), ShouldEqual, c.ejected)
+			// A time in the past would let the owner's timer fire without end.
+			if next, ok := u.Next(at); ok {
+				So(next, ShouldHappenAfter, at)
+			}
 			So(u.Free(at), ShouldEqual, c.free)
 		})
 	}
