Add the measuring program

measure drives dispatch.Core of each home in virtual time beside the central queue of perfect knowledge and four reference policies.

--- /dev/null
+++ b/measure/measure_test.go
@@ -0,0 +1,51 @@
+package measure_test
+
+import (
+	"bytes"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fulmarhitch/fulmarhitch/measure"
+)
+
+func plan(cores int, situations ...string) measure.Plan {
+	p := measure.Plan{Services: measure.Services()[:2], Policies: measure.Policies(), Seeds: []uint64{1, 2}, Cores: cores}
+	for _, s := range measure.Situations() {
+		for _, name := range situations {
+			if s.Name == name {
+				p.Situations = append(p.Situations, s)
+			}
+		}
+	}
+	return p
+}
+
+// TestDeterministic guards against results that depend on the order of goroutines or of map entries.
+func TestDeterministic(t *testing.T) {
+	Convey("two runs write the same lines", t, func() {
+		var a, b bytes.Buffer
+		So(measure.WriteLines(&a, measure.Run(plan(1, "combined"))), ShouldBeNil)
+		So(measure.WriteLines(&b, measure.Run(plan(4, "combined"))), ShouldBeNil)
+		So(a.String(), ShouldEqual, b.String())
+	})
+}
+
+// TestTargets guards against changes of the decisions that lose the order of the policies or a target of section 1.4.
+func TestTargets(t *testing.T) {
+	Convey("homes stay near the bound and far from choosing alone", t, func() {
+		results := measure.Run(plan(4, "steady", "crest", "stragglers"))
+		p99 := make(map[string]float64)
+		for _, r := range results {
+			if r.Service == "lookups" && r.Seed == 1 {
+				p99[r.Situation+" "+r.Policy] = r.P99
+			}
+		}
+		So(p99["steady bound"], ShouldBeLessThan, p99["steady bound+network"])
+		So(p99["steady homes"], ShouldBeLessThan, 1.15*p99["steady bound+network"])
+		So(p99["stragglers homes"], ShouldBeLessThan, 1.3*p99["steady homes"])
+		for _, name := range []string{"random", "round-robin", "least-requests", "two-choices"} {
+			So(p99["steady "+name], ShouldBeGreaterThan, 1.2*p99["steady homes"])
+		}
+	})
+}
