member, peer: let an address pass from a dead VM to a new one

A VM list entry was ignored while a dead VM had held its address, and a candidate named by its address stayed beside the member once that was back. Field checks of a request no longer allocate maps.

--- a/member/table.go
+++ b/member/table.go
@@ -146,12 +146,12 @@
 		e.listed, e.marked = false, false
 	}
 	for _, l := range listed {
-		if l.Name == "" || l.Name == t.self.Name || l.PeerAddress == t.self.PeerAddress {
+		if l.Name == "" || l.Name == t.self.Name || l.PeerAddress == t.self.PeerAddress || t.held(l) {
 			continue
 		}
 		e, ok := t.entries[l.Name]
 		if !ok {
-			if len(t.entries) >= maxEntries || t.Addressed(l.PeerAddress) {
+			if len(t.entries) >= maxEntries {
 				continue
 			}
 			e = &entry{}
@@ -170,6 +170,17 @@
 	}
 }
 
+// held tells whether a live member of another name has the peer address, so that the list or the settings are late
+// or name a VM by its address only. A dead member does not hold its address: a new VM may have got it.
+func (t *Table) held(l Listed) bool {
+	for name, e := range t.entries {
+		if name != l.Name && e.present() && e.PeerAddress == l.PeerAddress {
+			return true
+		}
+	}
+	return false
+}
+
 // Fail records that the member with this name and incarnation did not answer; it returns the suspicion to tell.
 func (t *Table) Fail(name, incarnation string, now time.Time) (Member, bool) {
 	e, ok := t.entries[name]
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -131,7 +131,11 @@
 			So(tab.Live()[0].Usable(), ShouldBeTrue)
 		})
 		Convey("a candidate that is heard under its own name counts once", func() {
-			tab.Apply(vm("d", "11", member.Alive, 1), start)
+			tab.List([]member.Listed{{Name: "b:7", PeerAddress: "b:7"}})
+			So(tab.Candidates(9), ShouldHaveLength, 1)
+			tab.Apply(vm("b", "11", member.Alive, 2), start)
+			tab.List([]member.Listed{{Name: "b:7", PeerAddress: "b:7"}})
+			So(tab.Candidates(9), ShouldBeEmpty)
 			tab.List([]member.Listed{{Name: "x:7", PeerAddress: "x:7"}})
 			tab.Apply(member.Member{Name: "x", Incarnation: "11", PeerAddress: "x:7", State: member.Alive, Counter: 1}, start)
 			So(tab.Candidates(9), ShouldBeEmpty)
--- a/peer/check.go
+++ b/peer/check.go
@@ -72,10 +72,11 @@
 	if m.GetCounter() >= maxGeneration {
 		return errors.Newf("member counter %d", m.GetCounter())
 	}
-	for field, address := range map[string]string{"address": m.GetAddress(), "peer address": m.GetPeerAddress()} {
-		if _, err := netip.ParseAddrPort(address); err != nil {
-			return errors.Wrapf(err, "member %s", field)
-		}
+	if _, err := netip.ParseAddrPort(m.GetAddress()); err != nil {
+		return errors.Wrap(err, "member address")
+	}
+	if _, err := netip.ParseAddrPort(m.GetPeerAddress()); err != nil {
+		return errors.Wrap(err, "member peer address")
 	}
 	return errors.CombineErrors(checkName("member", m.GetName()),
 		errors.CombineErrors(checkName("failure domain", m.GetFailureDomain()), checkIncarnation(m.GetIncarnation())))
@@ -147,10 +148,10 @@
 		len(m.GetGroup()) > 2*maxName {
 		return errors.New("peer: path, key, tenant or group is too long")
 	}
-	for field, s := range map[string]string{
-		"request id": m.GetRequestId(), "service": m.GetService(), "kind": m.GetKind(), "method": m.GetMethod(),
+	for _, f := range [...]struct{ field, value string }{
+		{"request id", m.GetRequestId()}, {"service", m.GetService()}, {"kind", m.GetKind()}, {"method", m.GetMethod()},
 	} {
-		if err := checkName(field, s); err != nil {
+		if err := checkName(f.field, f.value); err != nil {
 			return errors.Wrap(err, "peer")
 		}
 	}
