gossip: keep forgotten deaths from coming back

A suspect event was relayed with the age it came with, and VMs that had forgotten the death learned it from each other again: TestEcho delivered one death 40 times in 50 s at 20 VMs. Ages are now set at each sending, and a death is remembered for twice as long as it is sent.

--- a/gossip/duty.go
+++ b/gossip/duty.go
@@ -180,7 +180,7 @@
 		}
 		g.mu.Lock()
 		peers := g.table.Sample(fanOut, "")
-		q := &peerpb.PushRequest{Sender: g.sender(), Events: events}
+		q := &peerpb.PushRequest{Sender: g.sender(), Events: g.events.refresh(events, time.Now())}
 		g.mu.Unlock()
 		for _, p := range peers {
 			select {
--- a/gossip/event_test.go
+++ b/gossip/event_test.go
@@ -129,3 +129,15 @@
 		})
 	})
 }
+
+// TestEcho guards against a death that VMs learn from each other again after they forgot it, and so count twice.
+func TestEcho(t *testing.T) {
+	inBubble(t, 20, func(_ *network, vms []*vm) {
+		Convey("Given a death just under a minute ago", t, func() {
+			events := vms[1].Subscribe()
+			vms[0].Publish(suspect(1, 1, 59*time.Second))
+			time.Sleep(50 * time.Second)
+			So(len(events), ShouldEqual, 1)
+		})
+	})
+}
--- a/gossip/handle.go
+++ b/gossip/handle.go
@@ -86,5 +86,5 @@
 
 // take returns the events for one ping message.
 func (g *Gossip) take() []*peerpb.Event {
-	return g.broadcasts.take(g.table.Others() + 1)
+	return g.events.refresh(g.broadcasts.take(g.table.Others()+1), time.Now())
 }
--- a/gossip/log.go
+++ b/gossip/log.go
@@ -118,10 +118,11 @@
 	return true
 }
 
-// expire forgets old deaths.
+// expire forgets old deaths. They are remembered for longer than they are sent, so that a late message can't bring one
+// back at VMs that have forgotten it.
 func (l *eventLog) expire(now time.Time) {
 	for k, at := range l.deaths {
-		if now.Sub(at) >= suspectLife {
+		if now.Sub(at) >= 2*suspectLife {
 			delete(l.deaths, k)
 		}
 	}
@@ -134,7 +135,9 @@
 		all = append(all, upstreamEvent(s.event))
 	}
 	for k, at := range l.deaths {
-		all = append(all, suspectEvent(k, now.Sub(at)))
+		if age := now.Sub(at); age < suspectLife {
+			all = append(all, suspectEvent(k, age))
+		}
 	}
 	if l.generation > 0 {
 		all = append(all, generationEvent(l.generation, l.holder))
@@ -142,6 +145,19 @@
 	return all
 }
 
+// refresh sets the ages of suspect events to those at the time of sending.
+func (l *eventLog) refresh(events []*peerpb.Event, now time.Time) []*peerpb.Event {
+	for i, e := range events {
+		if s := e.GetSuspect(); s != nil {
+			k := deathKey{s.GetFingerprint(), s.GetDeath()}
+			if at, ok := l.deaths[k]; ok {
+				events[i] = suspectEvent(k, now.Sub(at))
+			}
+		}
+	}
+	return events
+}
+
 func upstreamEvent(e *peerpb.UpstreamEvent) *peerpb.Event {
 	return &peerpb.Event{Kind: &peerpb.Event_Upstream{Upstream: e}}
 }
