member: ignore deaths of unknown members

A dead entry that one VM had forgotten came back from another with a new time to expire, so replaced VMs would have stayed in all tables (TestTimes: 1 entry left instead of 0). TestList first makes its dead VM known, because a death alone no longer adds one.

--- a/member/table.go
+++ b/member/table.go
@@ -65,7 +65,9 @@
 	}
 	e, ok := t.entries[m.Name]
 	if !ok {
-		if len(t.entries) >= maxEntries {
+		// A death that this VM has forgotten, or never knew of, must not start its time anew: VMs would learn it from
+		// each other for ever.
+		if len(t.entries) >= maxEntries || m.State == Dead {
 			return nil
 		}
 		t.dropCandidates(m.PeerAddress)
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -108,6 +108,8 @@
 		So(tab.Live(), ShouldHaveLength, 1)
 		tab.Tick(start.Add(11 * time.Minute))
 		So(tab.Others(), ShouldEqual, 0)
+		tab.Apply(vm("a", "11", member.Dead, 1), start.Add(11*time.Minute))
+		So(tab.Others(), ShouldEqual, 0)
 	})
 }
 
@@ -119,6 +121,7 @@
 	Convey("Given a live, a dead and an unknown VM", t, func() {
 		tab := table()
 		tab.Apply(vm("a", "11", member.Alive, 1), start)
+		tab.Apply(vm("b", "11", member.Alive, 1), start)
 		tab.Apply(vm("b", "11", member.Dead, 1), start)
 		tab.List([]member.Listed{entry("b", false), entry("c", false), entry("self", true), {Name: "a:7", PeerAddress: "a:7"}})
 		So(tab.Live(), ShouldHaveLength, 2)
