--- a/member/table.go
+++ b/member/table.go
@@ -131,15 +131,6 @@
 	return a.State > b.State
 }
 
-// Newer tells whether the table holds a later state of the member's name than m, and returns it.
-func (t *Table) Newer(m Member) (Member, bool) {
-	known, ok := t.Get(m.Name)
-	if !ok || known.State == Candidate || !newer(known, m) {
-		return Member{}, false
-	}
-	return known, true
-}
-
 // List takes over the VM list or the peers of the settings: unknown names become candidates, and leaving marks hold
 // for as long as the list shows them. A list lags, so it neither revives nor removes a member, and its marks are not
 // told to peers: a mark meant for an old incarnation then ends with the next list.
