--- a/member/table.go
+++ b/member/table.go
@@ -65,7 +65,9 @@
 	}
 	e, ok := t.entries[m.Name]
 	if !ok {
-		if len(t.entries) >= maxEntries {
+		// A death that this VM has forgotten, or never knew of, must not start its time anew: VMs would learn it from
+		// each other for ever.
+		if len(t.entries) >= maxEntries || m.State == Dead {
 			return nil
 		}
 		t.dropCandidates(m.PeerAddress)
@@ -129,15 +131,6 @@
 	return a.State > b.State
 }
 
-// Newer tells whether the table holds a later state of the member's name than m, and returns it.
-func (t *Table) Newer(m Member) (Member, bool) {
-	known, ok := t.Get(m.Name)
-	if !ok || known.State == Candidate || !newer(known, m) {
-		return Member{}, false
-	}
-	return known, true
-}
-
 // List takes over the VM list or the peers of the settings: unknown names become candidates, and leaving marks hold
 // for as long as the list shows them. A list lags, so it neither revives nor removes a member, and its marks are not
 // told to peers: a mark meant for an old incarnation then ends with the next list.
@@ -146,12 +139,12 @@
 		e.listed, e.marked = false, false
 	}
 	for _, l := range listed {
-		if l.Name == "" || l.Name == t.self.Name || l.PeerAddress == t.self.PeerAddress {
+		if l.Name == "" || l.Name == t.self.Name || l.PeerAddress == t.self.PeerAddress || t.held(l) {
 			continue
 		}
 		e, ok := t.entries[l.Name]
 		if !ok {
-			if len(t.entries) >= maxEntries || t.Addressed(l.PeerAddress) {
+			if len(t.entries) >= maxEntries {
 				continue
 			}
 			e = &entry{}
@@ -170,6 +163,17 @@
 	}
 }
 
+// held tells whether a live member of another name has the peer address, so that the list or the settings are late
+// or name a VM by its address only. A dead member does not hold its address: a new VM may have got it.
+func (t *Table) held(l Listed) bool {
+	for name, e := range t.entries {
+		if name != l.Name && e.present() && e.PeerAddress == l.PeerAddress {
+			return true
+		}
+	}
+	return false
+}
+
 // Fail records that the member with this name and incarnation did not answer; it returns the suspicion to tell.
 func (t *Table) Fail(name, incarnation string, now time.Time) (Member, bool) {
 	e, ok := t.entries[name]
