Spill without a report from a pressed group and let guests wait briefly

Cause: with reports 200 ms old, a home whose queue was long spilled only into reported free slots, and at 90 % load elsewhere most spills met no slot free at that instant.

Change: a home whose last request would wait longer than a round trip of the link keeps a window of spills under way for each other group, which grows by 0.5 for a spill that ran and shrinks by 0.7 for a refused one. The receiver lets a spilled request wait for the mean service time before it refuses it.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -22,6 +22,8 @@
 	Value any
 
 	item queue.Item
+	// until is the time at which a waiter with NoWait is refused.
+	until time.Time
 }
 
 // Lanes of a waiter in the queue are sums of these; waiters of a lane are blocked together.
@@ -41,6 +43,8 @@
 	order   []string
 	delay   time.Duration
 	grant   func(*Waiter, Grant) bool
+	// guests are waiters with NoWait, in the order of their arrival; some may have been decided already.
+	guests []*Waiter
 }
 
 // NewCore returns a Core without upstreams. linkDelay is the one-way delay to other homes, or 0 for
@@ -89,8 +93,9 @@
 	}
 	c.settle(now)
 	switch {
-	case t.NoWait && c.queue.Remove(&w.item):
-		c.grant(w, Refused{Reason: outcome.NoFreeSlot})
+	case t.NoWait && c.queue.Queued(&w.item):
+		w.until = now.Add(c.pool.Mean())
+		c.guests = append(c.guests, w)
 	case !c.pool.Usable() && c.queue.Remove(&w.item):
 		c.grant(w, Refused{Reason: outcome.NoUpstream})
 	}
@@ -142,6 +147,20 @@
 // Tick does what is due because time has passed.
 func (c *Core) Tick(now time.Time) { c.settle(now) }
 
+// dismiss refuses the guests that have waited long enough.
+func (c *Core) dismiss(now time.Time) {
+	for len(c.guests) > 0 {
+		w := c.guests[0]
+		if c.queue.Queued(&w.item) && w.until.After(now) {
+			return
+		}
+		c.guests = c.guests[1:]
+		if c.queue.Remove(&w.item) {
+			c.grant(w, Refused{Reason: outcome.NoFreeSlot})
+		}
+	}
+}
+
 // Next returns the time after now at which Tick is due; ok is false if there is none.
 func (c *Core) Next(now time.Time) (next time.Time, ok bool) {
 	next, ok = c.pool.Next(now)
@@ -151,6 +170,9 @@
 			next, ok = t, true
 		}
 	}
+	if len(c.guests) > 0 && (!ok || c.guests[0].until.Before(next)) {
+		next, ok = c.guests[0].until, true
+	}
 	return next, ok
 }
 
@@ -162,6 +184,7 @@
 // settle binds waiting requests to free slots, drops expired ones and spills what has to wait.
 func (c *Core) settle(now time.Time) {
 	if c.queue.Len() == 0 {
+		c.guests = c.guests[:0]
 		return
 	}
 	for {
@@ -181,13 +204,14 @@
 			c.pool.Release(slot, upstream.Cancelled, 0, now)
 		}
 	}
+	c.dismiss(now)
 	c.spill(now)
 }
 
 // spill sends waiting requests to groups that have free slots.
 func (c *Core) spill(now time.Time) {
 	for c.queue.Len() > 0 {
-		group, r := c.target()
+		group, r := c.target(now)
 		if r == nil {
 			return
 		}
@@ -205,11 +229,16 @@
 	}
 }
 
-// target returns the group with the most free slots that own spills have not taken, or nil.
-func (c *Core) target() (group string, best *remote) {
-	most := 0
+// pressed reports whether the last waiting request has to wait longer than a spill takes on the link.
+func (c *Core) pressed(now time.Time) bool {
+	return time.Duration(c.queue.Len())*c.pool.Mean() > 2*c.delay*time.Duration(c.pool.Slots(now))
+}
+
+// target returns the group with the most room for spills, or nil.
+func (c *Core) target(now time.Time) (group string, best *remote) {
+	most, pressed := 0, c.pressed(now)
 	for _, g := range c.order {
-		if n := c.remotes[g].estimate(c.delay); n > most {
+		if n := c.remotes[g].room(c.delay, pressed); n > most {
 			group, best, most = g, c.remotes[g], n
 		}
 	}
--- a/dispatch/remote.go
+++ b/dispatch/remote.go
@@ -12,6 +12,27 @@
 	at time.Time
 	// sent are the times of the own spills under way.
 	sent []time.Time
+	// window is the number of spills that may be under way without a report of free slots. It grows with spills
+	// that ran and shrinks with refused ones.
+	window float64
+}
+
+const (
+	// windowGrowth is added for a spill that ran, windowShrink is the factor for a refused one. A window of 6 then
+	// settles at about one refusal in five.
+	windowGrowth = 0.5
+	windowShrink = 0.7
+	windowLimit  = 64
+)
+
+// room returns the number of further spills. If the group is pressed, they don't depend on reports, which are too old
+// to show the slots that become free in between.
+func (r *remote) room(delay time.Duration, pressed bool) int {
+	n := r.estimate(delay)
+	if pressed {
+		n = max(n, int(max(r.window, 1))-len(r.sent))
+	}
+	return n
 }
 
 // estimate returns the free slots of the report less the own spills that arrive after it was made.
@@ -38,5 +59,8 @@
 	}
 	if refused {
 		r.free = 0
+		r.window = max(r.window*windowShrink, 1)
+		return
 	}
+	r.window = min(max(r.window, 1)+windowGrowth, windowLimit)
 }
--- a/dispatch/ticket.go
+++ b/dispatch/ticket.go
@@ -26,7 +26,8 @@
 	Retry bool
 	// Suspect marks a request that was in progress when an upstream died.
 	Suspect bool
-	// NoWait refuses the request unless a slot is free at once, as for a spill from another home.
+	// NoWait refuses the request unless a slot becomes free within the mean service time, as for a spill from
+	// another home.
 	NoWait bool
 	// NoSpill keeps the request in the group.
 	NoSpill bool
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -144,6 +144,18 @@
 	return free
 }
 
+// Slots returns the number of slots of usable upstreams, free or not.
+func (p *Pool) Slots(now time.Time) int {
+	slots := 0
+	distrust := p.distrust(now)
+	for _, m := range p.members {
+		if p.usable(m, distrust, now) {
+			slots += m.state.Limit()
+		}
+	}
+	return slots
+}
+
 // Usable reports whether any upstream could run work, now or later.
 func (p *Pool) Usable() bool {
 	return slices.ContainsFunc(p.members, func(m *member) bool { return !m.state.Leaving() })
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -85,6 +85,9 @@
 	return last
 }
 
+// Queued reports whether the item is in a queue.
+func (q *Queue) Queued(it *Item) bool { return it.queued }
+
 // Remove takes the item out and reports whether it was queued.
 func (q *Queue) Remove(it *Item) bool {
 	if !it.queued {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -109,6 +109,14 @@
 	return u.ejected
 }
 
+// Limit returns the number of slots that may be used now, free or not.
+func (u *Upstream) Limit() int {
+	if u.slow {
+		return 1
+	}
+	return u.limit
+}
+
 // Free returns the number of free slots, whatever the health of the upstream.
 func (u *Upstream) Free(now time.Time) int {
 	kept := u.held[:0]
@@ -118,11 +126,7 @@
 		}
 	}
 	u.held = kept
-	limit := u.limit
-	if u.slow {
-		limit = 1
-	}
-	return max(limit-u.running-len(u.held), 0)
+	return max(u.Limit()-u.running-len(u.held), 0)
 }
 
 // Next returns the next time after now at which a held slot becomes free or an ejection ends; ok is false if there is
