Keep a request in its group when a slot there is nearer than the link

Cause: a home spilled as soon as its head had to wait, although a slot of a group of 15 becomes free every 0.5 ms on average and the link costs 10 ms, more with losses.

Change: a request is spilled if the group is pressed, or if it has waited for the one-way delay and another group reports a free slot. Waiting time is counted from the last arrival, so that a refused spill does not bounce.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -21,7 +21,8 @@
 	// Value belongs to the caller.
 	Value any
 
-	item queue.Item
+	item    queue.Item
+	arrived time.Time
 	// until is the time at which a waiter with NoWait is refused.
 	until time.Time
 }
@@ -45,6 +46,8 @@
 	grant   func(*Waiter, Grant) bool
 	// guests are waiters with NoWait, in the order of their arrival; some may have been decided already.
 	guests []*Waiter
+	// recheck is the time at which waiting requests may have waited long enough to be spilled.
+	recheck time.Time
 }
 
 // NewCore returns a Core without upstreams. linkDelay is the one-way delay to other homes, or 0 for
@@ -87,6 +90,7 @@
 	if t.Enqueued.IsZero() {
 		t.Enqueued = now
 	}
+	w.arrived = now
 	w.item = queue.Item{Request: t.Request, Enqueued: t.Enqueued, Lane: lane(t), Value: w}
 	if displaced := c.queue.Push(&w.item); displaced != nil {
 		c.refuse(displaced, outcome.QueueFull)
@@ -170,6 +174,9 @@
 			next, ok = t, true
 		}
 	}
+	if c.recheck.After(now) && (!ok || c.recheck.Before(next)) {
+		next, ok = c.recheck, true
+	}
 	if len(c.guests) > 0 && (!ok || c.guests[0].until.Before(next)) {
 		next, ok = c.guests[0].until, true
 	}
@@ -185,6 +192,7 @@
 func (c *Core) settle(now time.Time) {
 	if c.queue.Len() == 0 {
 		c.guests = c.guests[:0]
+		c.recheck = time.Time{}
 		return
 	}
 	for {
@@ -208,19 +216,26 @@
 	c.spill(now)
 }
 
-// spill sends waiting requests to groups that have free slots.
+// spill sends waiting requests to groups that have room for them. A request that does not have to wait for long stays,
+// because a slot of its own group is nearer than the round trip of the link.
 func (c *Core) spill(now time.Time) {
 	for c.queue.Len() > 0 {
-		group, r := c.target(now)
+		pressed := c.pressed(now)
+		group, r := c.target(pressed)
 		if r == nil {
 			return
 		}
 		latest := now.Add(2*c.delay + c.pool.Mean())
 		next, _ := c.queue.Pop(now, 0, func(it *queue.Item) bool {
-			t := &it.Value.(*Waiter).Ticket
-			return !t.NoSpill && !t.NoWait && !latest.After(t.Request.Deadline)
+			w := it.Value.(*Waiter)
+			t := &w.Ticket
+			waited := pressed || now.Sub(w.arrived) > c.delay
+			return waited && !t.NoSpill && !t.NoWait && !latest.After(t.Request.Deadline)
 		})
 		if next == nil {
+			if !c.recheck.After(now) {
+				c.recheck = now.Add(c.delay + time.Microsecond)
+			}
 			return
 		}
 		if c.grant(next.Value.(*Waiter), Spill{Group: group, sent: now}) {
@@ -235,8 +250,8 @@
 }
 
 // target returns the group with the most room for spills, or nil.
-func (c *Core) target(now time.Time) (group string, best *remote) {
-	most, pressed := 0, c.pressed(now)
+func (c *Core) target(pressed bool) (group string, best *remote) {
+	most := 0
 	for _, g := range c.order {
 		if n := c.remotes[g].room(c.delay, pressed); n > most {
 			group, best, most = g, c.remotes[g], n
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -62,6 +62,7 @@
 			var spills atomic.Int32
 			var wait sync.WaitGroup
 			for range 8 {
+				// Each of these waits for the only slot.
 				wait.Go(func() {
 					if s, ok := d.Acquire(ctx, ticket(200*ms)).(dispatch.Spill); ok {
 						spills.Add(1)
@@ -80,16 +81,18 @@
 			k.Retry = true
 			So(d.Acquire(ctx, k), ShouldResemble, dispatch.Refused{Reason: outcome.Refused})
 		},
-		"spills take the reported slots only": func(ctx context.Context, d *dispatch.Dispatcher, held dispatch.Bound) {
+		"a spill begins after the delay of the link and ends as refused": func(ctx context.Context, d *dispatch.Dispatcher, held dispatch.Bound) {
 			d.Report("roses/west", 1, 0, time.Now())
+			began := time.Now()
 			s, ok := d.Acquire(ctx, ticket(time.Second)).(dispatch.Spill)
 			So(ok, ShouldBeTrue)
+			So(time.Since(began), ShouldAlmostEqual, dispatch.DefaultLinkDelay, ms)
 			So(s.Group, ShouldEqual, "roses/west")
 			d.Return(s, true)
 			time.AfterFunc(20*ms, func() { d.Release(held, dispatch.Result{}) })
 			So(d.Acquire(ctx, ticket(time.Second)), ShouldHaveSameTypeAs, dispatch.Bound{})
 		},
-		"a spill needs time for the link": func(ctx context.Context, d *dispatch.Dispatcher, _ dispatch.Bound) {
+		"a spill needs time for the round trip": func(ctx context.Context, d *dispatch.Dispatcher, _ dispatch.Bound) {
 			d.Report("roses/west", 1, 0, time.Now())
 			So(d.Acquire(ctx, ticket(15*ms)), ShouldHaveSameTypeAs, dispatch.Refused{})
 		},
--- a/dispatch/remote.go
+++ b/dispatch/remote.go
@@ -25,8 +25,8 @@
 	windowLimit  = 64
 )
 
-// room returns the number of further spills. If the group is pressed, they don't depend on reports, which are too old
-// to show the slots that become free in between.
+// room returns the number of further spills. If the own group is pressed, the window allows some without a report of
+// free slots, because reports are too old to show the slots that become free in between.
 func (r *remote) room(delay time.Duration, pressed bool) int {
 	n := r.estimate(delay)
 	if pressed {
