Let requests wait for a dispatcher's first update

Cause: updates and arrivals reach the dispatcher by different rings, so a request right after the first Update could overtake it and was refused as no-upstream.

Also computes the typical service time once for each sample and reads the clock once for each event.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -128,6 +128,18 @@
 	}
 }
 
+// TestFirstUpdate guards against requests refused because they overtake the first Update.
+func TestFirstUpdate(t *testing.T) {
+	Convey("a request right after the first update is bound", t, func() {
+		for range 100 {
+			d, stop := start(1)
+			g := d.Acquire(t.Context(), ticket(time.Minute))
+			stop()
+			So(g, ShouldHaveSameTypeAs, dispatch.Bound{})
+		}
+	})
+}
+
 // TestGiveUp guards against slots lost or given twice when callers give up at the moment of the grant.
 func TestGiveUp(t *testing.T) {
 	Convey("all slots are free after many callers gave up", t, func() {
@@ -167,3 +179,17 @@
 		d.Release(d.Acquire(b.Context(), k).(dispatch.Bound), dispatch.Result{})
 	}
 }
+
+// BenchmarkCallers measures the same for many callers at once.
+func BenchmarkCallers(b *testing.B) {
+	d, stop := start(20)
+	defer stop()
+	k := ticket(time.Hour)
+	b.ReportAllocs()
+	b.SetParallelism(10)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			d.Release(d.Acquire(context.Background(), k).(dispatch.Bound), dispatch.Result{})
+		}
+	})
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -30,6 +30,7 @@
 type Dispatcher struct {
 	group    string
 	core     *Core
+	ready    bool
 	arrivals *ring.Ring[*Waiter]
 	releases *ring.Ring[release]
 	controls *ring.Ring[func(now time.Time)]
@@ -80,33 +81,46 @@
 	defer timer.Stop()
 	var armed time.Time
 	for {
+		// Arrivals wait for the first Update, without which all would be refused.
+		var arrivals <-chan *Waiter
+		if d.ready {
+			arrivals = d.arrivals.Items()
+		}
+		var now time.Time
 		select {
 		case <-ctx.Done():
 			return errors.Wrapf(ctx.Err(), "dispatch: group %s", d.group)
-		case w := <-d.arrivals.Items():
+		case w := <-arrivals:
+			now = time.Now()
 			if w.Value.(*call).state.Load() == pending {
-				d.core.Arrive(w, time.Now())
+				d.core.Arrive(w, now)
 			}
 		case r := <-d.releases.Items():
-			d.core.Release(r.bound, r.result, time.Now())
+			now = time.Now()
+			d.core.Release(r.bound, r.result, now)
 		case f := <-d.controls.Items():
-			f(time.Now())
-		case now := <-timer.C:
+			now = time.Now()
+			f(now)
+		case <-timer.C:
+			now = time.Now()
 			armed = time.Time{}
 			d.core.Tick(now)
 		}
-		d.publish()
+		d.publish(now)
 		// A timer that is armed too early only ticks once too often, so it is set back on demand only.
-		if next, ok := d.core.Next(time.Now()); ok && (armed.IsZero() || next.Before(armed)) {
+		if next, ok := d.core.Next(now); ok && (armed.IsZero() || next.Before(armed)) {
 			armed = next
-			timer.Reset(time.Until(next))
+			timer.Reset(next.Sub(now))
 		}
 	}
 }
 
-// Update sets the service's rules and the group's upstreams.
+// Update sets the service's rules and the group's upstreams. Calls of Acquire wait for the first Update.
 func (d *Dispatcher) Update(svc declaration.Service, ups []declaration.Upstream) {
-	d.control(func(now time.Time) { d.core.Update(svc, ups, now) })
+	d.control(func(now time.Time) {
+		d.ready = true
+		d.core.Update(svc, ups, now)
+	})
 }
 
 // Acquire waits for the decision about the ticket. A Bound has to be given back by Release and a Spill by Return.
@@ -166,8 +180,8 @@
 	d.controls.Put(d.done, f)
 }
 
-func (d *Dispatcher) publish() {
-	free, waiting := d.core.Load(time.Now())
+func (d *Dispatcher) publish(now time.Time) {
+	free, waiting := d.core.Load(now)
 	d.load.Store(uint64(free)<<32 | uint64(uint32(waiting)))
 }
 
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -34,6 +34,7 @@
 	// level is the smoothed natural logarithm of the service time in nanoseconds. The logarithm keeps a single
 	// straggler from passing for a slow upstream.
 	level   float64
+	typical time.Duration
 	samples int
 
 	failures int
@@ -145,7 +146,7 @@
 
 // Typical returns the smoothed service time; ok is false below MinSamples samples.
 func (u *Upstream) Typical() (typical time.Duration, ok bool) {
-	return time.Duration(math.Exp(u.level)), u.samples >= MinSamples
+	return u.typical, u.samples >= MinSamples
 }
 
 // Start counts a request that begins to run.
@@ -223,6 +224,7 @@
 	u.samples++
 	// The mean of the first samples counts fully, so that the first one does not weigh more than the others.
 	u.level += (x - u.level) * max(smoothing, 1/float64(u.samples))
+	u.typical = time.Duration(math.Exp(u.level))
 }
 
 func (u *Upstream) succeed() {
