--- a/measure/measure_test.go
+++ b/measure/measure_test.go
@@ -34,16 +34,19 @@
 // TestTargets guards against changes of the decisions that lose the order of the policies or a target of section 1.4.
 func TestTargets(t *testing.T) {
 	Convey("homes stay near the bound and far from choosing alone", t, func() {
-		results := measure.Run(plan(4, "steady", "crest", "stragglers"))
-		p99 := make(map[string]float64)
+		results := measure.Run(plan(4, "steady", "slow+failing", "crest", "stragglers"))
+		p99, weight := make(map[string]float64), make(map[string]float64)
 		for _, r := range results {
 			if r.Service == "lookups" && r.Seed == 1 {
 				p99[r.Situation+" "+r.Policy] = r.P99
+				weight[r.Situation+" "+r.Policy] = r.Weight
 			}
 		}
 		So(p99["steady bound"], ShouldBeLessThan, p99["steady bound+network"])
 		So(p99["steady homes"], ShouldBeLessThan, 1.15*p99["steady bound+network"])
 		So(p99["stragglers homes"], ShouldBeLessThan, 1.3*p99["steady homes"])
+		So(p99["slow+failing homes"], ShouldBeLessThan, 1.15*p99["slow+failing bound+network"])
+		So(weight["crest homes"], ShouldBeGreaterThan, 0.95*weight["crest bound+network"])
 		for _, name := range []string{"random", "round-robin", "least-requests", "two-choices"} {
 			So(p99["steady "+name], ShouldBeGreaterThan, 1.2*p99["steady homes"])
 		}
