Leave a slow upstream alone while others can be used

Cause: near full load the one slot of a slow upstream was always taken, so that a steady part of the requests ran ten times longer than the others.

Change: while another upstream that is not slow may be used, a slow one gets one request in 250 ms, which keeps measuring it, unless the wait in the group is more than twice its service time.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -195,6 +195,7 @@
 		c.recheck = time.Time{}
 		return
 	}
+	c.pool.SetWait(c.wait(now))
 	for {
 		var slot pool.Slot
 		next, expired := c.queue.Pop(now, c.pool.Mean(), func(it *queue.Item) (ok bool) {
@@ -246,7 +247,12 @@
 
 // pressed reports whether the last waiting request has to wait longer than a spill takes on the link.
 func (c *Core) pressed(now time.Time) bool {
-	return time.Duration(c.queue.Len())*c.pool.Mean() > 2*c.delay*time.Duration(c.pool.Slots(now))
+	return c.wait(now) > 2*c.delay
+}
+
+// wait returns how long the last waiting request has to wait for a slot.
+func (c *Core) wait(now time.Time) time.Duration {
+	return time.Duration(c.queue.Len()) * c.pool.Mean() / time.Duration(max(c.pool.Slots(now), 1))
 }
 
 // target returns the group with the most room for spills, or nil.
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -13,6 +13,9 @@
 const (
 	// slowFactor is how many times the group's median a service time must be to count as slow.
 	slowFactor = 4
+	// slowInterval is the time between requests to a slow upstream while others can be used. They measure it without
+	// making more than a few requests late.
+	slowInterval = 250 * time.Millisecond
 	// firstMean is the mean service time assumed before the first answer.
 	firstMean = 10 * time.Millisecond
 	// meanSmoothing is the weight of a new service time in the group's mean.
@@ -33,11 +36,14 @@
 	// quiet is set while no upstream is ejected or holds a slot for a failed request. It saves a look at each
 	// upstream for most events.
 	quiet bool
+	wait  time.Duration
 }
 
 type member struct {
 	declared declaration.Upstream
 	state    *upstream.Upstream
+	// used is the last time at which a slot was taken.
+	used time.Time
 }
 
 // Slot is a slot taken by a request until Release.
@@ -78,6 +84,9 @@
 	p.started = p.started || len(members) > 0
 }
 
+// SetWait tells the pool how long a request waits for a slot at present.
+func (p *Pool) SetWait(wait time.Duration) { p.wait = wait }
+
 // Acquire takes the best free slot for the request. The upstream named exclude is not used, and a suspect gets no
 // upstream that runs a suspect; ok is false if there is no slot.
 func (p *Pool) Acquire(r *request.Request, exclude string, suspect bool, now time.Time) (slot Slot, ok bool) {
@@ -87,7 +96,11 @@
 	distrust := p.distrust(now)
 	var best *member
 	var bestCost float64
+	spare := p.spare(exclude, now)
 	for _, m := range p.members {
+		if spare && p.avoid(m, now) {
+			continue
+		}
 		if !p.usable(m, distrust, now) || m.declared.Name == exclude || suspect && m.state.Suspects() > 0 {
 			continue
 		}
@@ -103,6 +116,7 @@
 	if best == nil {
 		return Slot{}, false
 	}
+	best.used = now
 	best.state.Start(suspect)
 	if r.Long {
 		p.long++
@@ -241,6 +255,24 @@
 	return cost * (1 + 0.1*p.random.Float64())
 }
 
+// spare reports whether any upstream but the excluded one is not slow and may be used, now or when a slot of it becomes
+// free.
+func (p *Pool) spare(exclude string, now time.Time) bool {
+	return slices.ContainsFunc(p.members, func(m *member) bool {
+		return !m.state.Slow() && m.declared.Name != exclude && p.usable(m, false, now)
+	})
+}
+
+// avoid reports whether a slow upstream should be left alone, because waiting for another one takes less time.
+func (p *Pool) avoid(m *member, now time.Time) bool {
+	if !m.state.Slow() || now.Sub(m.used) >= slowInterval {
+		return false
+	}
+	typical, _ := m.state.Typical()
+	// With only one typical time of the slow upstream the wait of a busy group passes it too often.
+	return p.wait < 2*typical
+}
+
 // mark finds the median service time and marks the upstreams far above it as slow.
 func (p *Pool) mark() {
 	var buffer [64]time.Duration
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -80,6 +81,25 @@
 			So(take(p, &c.request, c.exclude, c.suspect), ShouldResemble, c.want)
 		})
 	}
+	Convey("a slow upstream is left alone for a while, unless the wait is longer or it is the only one left", t, func() {
+		p := fill(2)
+		run(p, 8, nil, map[string]time.Duration{"u0": 80 * ms})
+		at := now.Add(200 * ms)
+		for exclude, want := range map[string][2]bool{"": {false, true}, "u1": {true, true}} {
+			p.SetWait(0)
+			var slots []pool.Slot
+			for s, ok := p.Acquire(&request.Request{}, exclude, false, at); ok; s, ok = p.Acquire(&request.Request{}, exclude, false, at) {
+				slots = append(slots, s)
+			}
+			slow := slices.ContainsFunc(slots, func(s pool.Slot) bool { return s.Upstream.Name == "u0" })
+			So(slow, ShouldEqual, want[0])
+			p.SetWait(time.Second)
+			_, ok := p.Acquire(&request.Request{}, exclude, false, at)
+			So(slow || ok, ShouldEqual, want[1])
+			p = fill(2)
+			run(p, 8, nil, map[string]time.Duration{"u0": 80 * ms})
+		}
+	})
 	Convey("long work holds its share only", t, func() {
 		p := fill(3)
 		p.SetLongShare(0.5)
