--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -21,7 +21,10 @@
 	// Value belongs to the caller.
 	Value any
 
-	item queue.Item
+	item    queue.Item
+	arrived time.Time
+	// until is the time at which a waiter with NoWait is refused.
+	until time.Time
 }
 
 // Lanes of a waiter in the queue are sums of these; waiters of a lane are blocked together.
@@ -41,6 +44,10 @@
 	order   []string
 	delay   time.Duration
 	grant   func(*Waiter, Grant) bool
+	// guests are waiters with NoWait, in the order of their arrival; some may have been decided already.
+	guests []*Waiter
+	// recheck is the time at which waiting requests may have waited long enough to be spilled.
+	recheck time.Time
 }
 
 // NewCore returns a Core without upstreams. linkDelay is the one-way delay to other homes, or 0 for
@@ -83,14 +90,16 @@
 	if t.Enqueued.IsZero() {
 		t.Enqueued = now
 	}
+	w.arrived = now
 	w.item = queue.Item{Request: t.Request, Enqueued: t.Enqueued, Lane: lane(t), Value: w}
 	if displaced := c.queue.Push(&w.item); displaced != nil {
 		c.refuse(displaced, outcome.QueueFull)
 	}
 	c.settle(now)
 	switch {
-	case t.NoWait && c.queue.Remove(&w.item):
-		c.grant(w, Refused{Reason: outcome.NoFreeSlot})
+	case t.NoWait && c.queue.Queued(&w.item):
+		w.until = now.Add(c.pool.Mean())
+		c.guests = append(c.guests, w)
 	case !c.pool.Usable() && c.queue.Remove(&w.item):
 		c.grant(w, Refused{Reason: outcome.NoUpstream})
 	}
@@ -142,6 +151,20 @@
 // Tick does what is due because time has passed.
 func (c *Core) Tick(now time.Time) { c.settle(now) }
 
+// dismiss refuses the guests that have waited long enough.
+func (c *Core) dismiss(now time.Time) {
+	for len(c.guests) > 0 {
+		w := c.guests[0]
+		if c.queue.Queued(&w.item) && w.until.After(now) {
+			return
+		}
+		c.guests = c.guests[1:]
+		if c.queue.Remove(&w.item) {
+			c.grant(w, Refused{Reason: outcome.NoFreeSlot})
+		}
+	}
+}
+
 // Next returns the time after now at which Tick is due; ok is false if there is none.
 func (c *Core) Next(now time.Time) (next time.Time, ok bool) {
 	next, ok = c.pool.Next(now)
@@ -151,6 +174,12 @@
 			next, ok = t, true
 		}
 	}
+	if c.recheck.After(now) && (!ok || c.recheck.Before(next)) {
+		next, ok = c.recheck, true
+	}
+	if len(c.guests) > 0 && (!ok || c.guests[0].until.Before(next)) {
+		next, ok = c.guests[0].until, true
+	}
 	return next, ok
 }
 
@@ -162,8 +191,11 @@
 // settle binds waiting requests to free slots, drops expired ones and spills what has to wait.
 func (c *Core) settle(now time.Time) {
 	if c.queue.Len() == 0 {
+		c.guests = c.guests[:0]
+		c.recheck = time.Time{}
 		return
 	}
+	c.pool.SetWait(c.wait(now))
 	for {
 		var slot pool.Slot
 		next, expired := c.queue.Pop(now, c.pool.Mean(), func(it *queue.Item) (ok bool) {
@@ -181,22 +213,30 @@
 			c.pool.Release(slot, upstream.Cancelled, 0, now)
 		}
 	}
+	c.dismiss(now)
 	c.spill(now)
 }
 
-// spill sends waiting requests to groups that have free slots.
+// spill sends waiting requests to groups that have room for them. A request that does not have to wait for long stays,
+// because a slot of its own group is nearer than the round trip of the link.
 func (c *Core) spill(now time.Time) {
 	for c.queue.Len() > 0 {
-		group, r := c.target()
+		pressed := c.pressed(now)
+		group, r := c.target(pressed)
 		if r == nil {
 			return
 		}
 		latest := now.Add(2*c.delay + c.pool.Mean())
 		next, _ := c.queue.Pop(now, 0, func(it *queue.Item) bool {
-			t := &it.Value.(*Waiter).Ticket
-			return !t.NoSpill && !t.NoWait && !latest.After(t.Request.Deadline)
+			w := it.Value.(*Waiter)
+			t := &w.Ticket
+			waited := pressed || now.Sub(w.arrived) > c.delay
+			return waited && !t.NoSpill && !t.NoWait && !latest.After(t.Request.Deadline)
 		})
 		if next == nil {
+			if !c.recheck.After(now) {
+				c.recheck = now.Add(c.delay + time.Microsecond)
+			}
 			return
 		}
 		if c.grant(next.Value.(*Waiter), Spill{Group: group, sent: now}) {
@@ -205,11 +245,21 @@
 	}
 }
 
-// target returns the group with the most free slots that own spills have not taken, or nil.
-func (c *Core) target() (group string, best *remote) {
+// pressed reports whether the last waiting request has to wait longer than a spill takes on the link.
+func (c *Core) pressed(now time.Time) bool {
+	return c.wait(now) > 2*c.delay
+}
+
+// wait returns how long the last waiting request has to wait for a slot.
+func (c *Core) wait(now time.Time) time.Duration {
+	return time.Duration(c.queue.Len()) * c.pool.Mean() / time.Duration(max(c.pool.Slots(now), 1))
+}
+
+// target returns the group with the most room for spills, or nil.
+func (c *Core) target(pressed bool) (group string, best *remote) {
 	most := 0
 	for _, g := range c.order {
-		if n := c.remotes[g].estimate(c.delay); n > most {
+		if n := c.remotes[g].room(c.delay, pressed); n > most {
 			group, best, most = g, c.remotes[g], n
 		}
 	}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -47,26 +48,51 @@
 			So(d.Acquire(ctx, ticket(50*ms)), ShouldResemble, dispatch.Refused{Reason: outcome.DeadlineUnreachable})
 			So(time.Since(began), ShouldAlmostEqual, 40*ms, ms)
 		},
-		"a spilled request does not wait": func(ctx context.Context, d *dispatch.Dispatcher, _ dispatch.Bound) {
+		"a spilled request waits for the mean service time at most": func(ctx context.Context, d *dispatch.Dispatcher, held dispatch.Bound) {
+			began := time.Now()
 			k := ticket(time.Second)
 			k.NoWait = true
 			So(d.Acquire(ctx, k), ShouldResemble, dispatch.Refused{Reason: outcome.NoFreeSlot})
+			So(time.Since(began), ShouldEqual, 10*ms)
+			time.AfterFunc(5*ms, func() { d.Release(held, dispatch.Result{}) })
+			So(d.Acquire(ctx, k), ShouldHaveSameTypeAs, dispatch.Bound{})
+		},
+		"a pressed group spills without a report, and less after refusals": func(ctx context.Context, d *dispatch.Dispatcher, _ dispatch.Bound) {
+			d.Report("roses/west", 0, 9, time.Now())
+			var spills atomic.Int32
+			var wait sync.WaitGroup
+			for range 8 {
+				// Each of these waits for the only slot.
+				wait.Go(func() {
+					if s, ok := d.Acquire(ctx, ticket(200*ms)).(dispatch.Spill); ok {
+						spills.Add(1)
+						time.Sleep(50 * ms)
+						d.Return(s, true)
+					}
+				})
+			}
+			synctest.Wait()
+			So(spills.Load(), ShouldEqual, 1)
+			wait.Wait()
+			So(spills.Load(), ShouldBeBetween, 1, 5)
 		},
 		"a retry without budget is refused": func(ctx context.Context, d *dispatch.Dispatcher, _ dispatch.Bound) {
 			k := ticket(time.Second)
 			k.Retry = true
 			So(d.Acquire(ctx, k), ShouldResemble, dispatch.Refused{Reason: outcome.Refused})
 		},
-		"spills take the reported slots only": func(ctx context.Context, d *dispatch.Dispatcher, held dispatch.Bound) {
+		"a spill begins after the delay of the link and ends as refused": func(ctx context.Context, d *dispatch.Dispatcher, held dispatch.Bound) {
 			d.Report("roses/west", 1, 0, time.Now())
+			began := time.Now()
 			s, ok := d.Acquire(ctx, ticket(time.Second)).(dispatch.Spill)
 			So(ok, ShouldBeTrue)
+			So(time.Since(began), ShouldAlmostEqual, dispatch.DefaultLinkDelay, ms)
 			So(s.Group, ShouldEqual, "roses/west")
 			d.Return(s, true)
 			time.AfterFunc(20*ms, func() { d.Release(held, dispatch.Result{}) })
 			So(d.Acquire(ctx, ticket(time.Second)), ShouldHaveSameTypeAs, dispatch.Bound{})
 		},
-		"a spill needs time for the link": func(ctx context.Context, d *dispatch.Dispatcher, _ dispatch.Bound) {
+		"a spill needs time for the round trip": func(ctx context.Context, d *dispatch.Dispatcher, _ dispatch.Bound) {
 			d.Report("roses/west", 1, 0, time.Now())
 			So(d.Acquire(ctx, ticket(15*ms)), ShouldHaveSameTypeAs, dispatch.Refused{})
 		},
@@ -102,6 +128,18 @@
 	}
 }
 
+// TestFirstUpdate guards against requests refused because they overtake the first Update.
+func TestFirstUpdate(t *testing.T) {
+	Convey("a request right after the first update is bound", t, func() {
+		for range 100 {
+			d, stop := start(1)
+			g := d.Acquire(t.Context(), ticket(time.Minute))
+			stop()
+			So(g, ShouldHaveSameTypeAs, dispatch.Bound{})
+		}
+	})
+}
+
 // TestGiveUp guards against slots lost or given twice when callers give up at the moment of the grant.
 func TestGiveUp(t *testing.T) {
 	Convey("all slots are free after many callers gave up", t, func() {
@@ -141,3 +179,17 @@
 		d.Release(d.Acquire(b.Context(), k).(dispatch.Bound), dispatch.Result{})
 	}
 }
+
+// BenchmarkCallers measures the same for many callers at once.
+func BenchmarkCallers(b *testing.B) {
+	d, stop := start(20)
+	defer stop()
+	k := ticket(time.Hour)
+	b.ReportAllocs()
+	b.SetParallelism(10)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			d.Release(d.Acquire(context.Background(), k).(dispatch.Bound), dispatch.Result{})
+		}
+	})
+}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -13,6 +13,9 @@
 const (
 	// slowFactor is how many times the group's median a service time must be to count as slow.
 	slowFactor = 4
+	// slowInterval is the time between requests to a slow upstream while others can be used. They measure it without
+	// making more than a few requests late.
+	slowInterval = 250 * time.Millisecond
 	// firstMean is the mean service time assumed before the first answer.
 	firstMean = 10 * time.Millisecond
 	// meanSmoothing is the weight of a new service time in the group's mean.
@@ -30,11 +33,17 @@
 	long      int
 	mean      time.Duration
 	median    time.Duration
+	// quiet is set while no upstream is ejected or holds a slot for a failed request. It saves a look at each
+	// upstream for most events.
+	quiet bool
+	wait  time.Duration
 }
 
 type member struct {
 	declared declaration.Upstream
 	state    *upstream.Upstream
+	// used is the last time at which a slot was taken.
+	used time.Time
 }
 
 // Slot is a slot taken by a request until Release.
@@ -71,9 +80,13 @@
 		members = append(members, m)
 	}
 	p.members = members
+	p.quiet = false
 	p.started = p.started || len(members) > 0
 }
 
+// SetWait tells the pool how long a request waits for a slot at present.
+func (p *Pool) SetWait(wait time.Duration) { p.wait = wait }
+
 // Acquire takes the best free slot for the request. The upstream named exclude is not used, and a suspect gets no
 // upstream that runs a suspect; ok is false if there is no slot.
 func (p *Pool) Acquire(r *request.Request, exclude string, suspect bool, now time.Time) (slot Slot, ok bool) {
@@ -83,7 +96,11 @@
 	distrust := p.distrust(now)
 	var best *member
 	var bestCost float64
+	spare := p.spare(exclude, now)
 	for _, m := range p.members {
+		if spare && p.avoid(m, now) {
+			continue
+		}
 		if !p.usable(m, distrust, now) || m.declared.Name == exclude || suspect && m.state.Suspects() > 0 {
 			continue
 		}
@@ -99,6 +116,7 @@
 	if best == nil {
 		return Slot{}, false
 	}
+	best.used = now
 	best.state.Start(suspect)
 	if r.Long {
 		p.long++
@@ -113,6 +131,7 @@
 	}
 	s.member.state.Finish(class, s.suspect, service, p.mean, now)
 	if class != upstream.Answered {
+		p.quiet = false
 		return
 	}
 	if !s.long {
@@ -126,6 +145,7 @@
 func (p *Pool) Observe(name string, state upstream.State, now time.Time) {
 	if m := p.find(name); m != nil {
 		m.state.Observe(state, now)
+		p.quiet = false
 	}
 }
 
@@ -144,6 +164,18 @@
 	return free
 }
 
+// Slots returns the number of slots of usable upstreams, free or not.
+func (p *Pool) Slots(now time.Time) int {
+	slots := 0
+	distrust := p.distrust(now)
+	for _, m := range p.members {
+		if p.usable(m, distrust, now) {
+			slots += m.state.Limit()
+		}
+	}
+	return slots
+}
+
 // Usable reports whether any upstream could run work, now or later.
 func (p *Pool) Usable() bool {
 	return slices.ContainsFunc(p.members, func(m *member) bool { return !m.state.Leaving() })
@@ -151,6 +183,9 @@
 
 // Next returns the next time after now at which a slot becomes free without a Release; ok is false if there is none.
 func (p *Pool) Next(now time.Time) (next time.Time, ok bool) {
+	if p.quiet {
+		return time.Time{}, false
+	}
 	for _, m := range p.members {
 		if t, some := m.state.Next(now); some && (!ok || t.Before(next)) {
 			next, ok = t, true
@@ -169,14 +204,20 @@
 }
 
 func (p *Pool) usable(m *member, distrust bool, now time.Time) bool {
-	return !m.state.Leaving() && (distrust || !m.state.Ejected(now))
+	return !m.state.Leaving() && (distrust || p.quiet || !m.state.Ejected(now))
 }
 
 // distrust reports whether more than half of the upstreams are ejected. Then the fault is more likely in the
 // measurement or the network than in the upstreams, and ejection is ignored.
 func (p *Pool) distrust(now time.Time) bool {
+	if p.quiet {
+		return false
+	}
 	ejected, all := 0, 0
+	p.quiet = true
 	for _, m := range p.members {
+		_, due := m.state.Next(now)
+		p.quiet = p.quiet && !due
 		if m.state.Leaving() {
 			continue
 		}
@@ -214,6 +255,24 @@
 	return cost * (1 + 0.1*p.random.Float64())
 }
 
+// spare reports whether any upstream but the excluded one is not slow and may be used, now or when a slot of it becomes
+// free.
+func (p *Pool) spare(exclude string, now time.Time) bool {
+	return slices.ContainsFunc(p.members, func(m *member) bool {
+		return !m.state.Slow() && m.declared.Name != exclude && p.usable(m, false, now)
+	})
+}
+
+// avoid reports whether a slow upstream should be left alone, because waiting for another one takes less time.
+func (p *Pool) avoid(m *member, now time.Time) bool {
+	if !m.state.Slow() || now.Sub(m.used) >= slowInterval {
+		return false
+	}
+	typical, _ := m.state.Typical()
+	// With only one typical time of the slow upstream the wait of a busy group passes it too often.
+	return p.wait < 2*typical
+}
+
 // mark finds the median service time and marks the upstreams far above it as slow.
 func (p *Pool) mark() {
 	var buffer [64]time.Duration
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -34,6 +34,7 @@
 	// level is the smoothed natural logarithm of the service time in nanoseconds. The logarithm keeps a single
 	// straggler from passing for a slow upstream.
 	level   float64
+	typical time.Duration
 	samples int
 
 	failures int
@@ -109,6 +110,14 @@
 	return u.ejected
 }
 
+// Limit returns the number of slots that may be used now, free or not.
+func (u *Upstream) Limit() int {
+	if u.slow {
+		return 1
+	}
+	return u.limit
+}
+
 // Free returns the number of free slots, whatever the health of the upstream.
 func (u *Upstream) Free(now time.Time) int {
 	kept := u.held[:0]
@@ -118,11 +127,7 @@
 		}
 	}
 	u.held = kept
-	limit := u.limit
-	if u.slow {
-		limit = 1
-	}
-	return max(limit-u.running-len(u.held), 0)
+	return max(u.Limit()-u.running-len(u.held), 0)
 }
 
 // Next returns the next time after now at which a held slot becomes free or an ejection ends; ok is false if there is
@@ -141,7 +146,7 @@
 
 // Typical returns the smoothed service time; ok is false below MinSamples samples.
 func (u *Upstream) Typical() (typical time.Duration, ok bool) {
-	return time.Duration(math.Exp(u.level)), u.samples >= MinSamples
+	return u.typical, u.samples >= MinSamples
 }
 
 // Start counts a request that begins to run.
@@ -219,6 +224,7 @@
 	u.samples++
 	// The mean of the first samples counts fully, so that the first one does not weigh more than the others.
 	u.level += (x - u.level) * max(smoothing, 1/float64(u.samples))
+	u.typical = time.Duration(math.Exp(u.level))
 }
 
 func (u *Upstream) succeed() {
