--- /dev/null
+++ b/cmd/demo/main.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/fulmarhitch/fulmarhitch/caller"
+)
+
+type arguments struct {
+	Duration time.Duration `default:"20s" help:"Time of the traffic."`
+	Bin      string        `help:"Folder with the programs; the default is the demo's own."`
+}
+
+func main() {
+	var a arguments
+	kong.Parse(&a, kong.Name("demo"), kong.Description("Run the whole path with a killed entry VM and a draining upstream."))
+	log := logrus.New()
+	log.SetFormatter(&logrus.JSONFormatter{})
+	ok, err := run(a, log)
+	if err != nil {
+		log.WithError(err).Error("demo failed")
+		os.Exit(1)
+	}
+	if !ok {
+		os.Exit(1)
+	}
+}
+
+func run(a arguments, log *logrus.Logger) (bool, error) {
+	if a.Bin == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return false, errors.Wrap(err, "demo")
+		}
+		a.Bin = filepath.Dir(self)
+	}
+	folder, err := os.MkdirTemp("", "fulmarhitch-demo-")
+	if err != nil {
+		return false, errors.Wrap(err, "demo")
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	f, err := newFleet(a.Bin, folder)
+	if f != nil {
+		defer f.stop()
+	}
+	if err != nil {
+		return false, err
+	}
+	log.WithFields(logrus.Fields{"entry-vms": len(f.entries), "services": len(services)}).Info("the fleet runs")
+	t := newTraffic()
+	if err := t.disturb(f, a.Duration, log); err != nil {
+		return false, err
+	}
+	return t.report(f)
+}
+
+// disturb sends traffic for the duration. On the way it kills an entry VM, drains an upstream and stops an entry VM
+// as planned.
+func (t *traffic) disturb(f *fleet, duration time.Duration, log *logrus.Logger) error {
+	var entries []string
+	for _, p := range f.entries {
+		entries = append(entries, p.address)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), duration)
+	defer cancel()
+	var callers sync.WaitGroup
+	for _, s := range services {
+		c := caller.New(caller.Config{Entries: entries})
+		defer c.Close()
+		callers.Go(func() { t.run(ctx, c, s) })
+	}
+	time.Sleep(duration / 3)
+	log.WithField("entry-vm", f.entries[1].name).Info("killing an entry VM")
+	f.entries[1].kill()
+	time.Sleep(duration / 6)
+	drained := f.upstreams["lookups"][0]
+	log.WithField("upstream", drained.name).Info("draining an upstream")
+	err := send(http.MethodPost, "http://"+drained.address+"/control/drain", nil)
+	time.Sleep(duration / 10)
+	log.WithField("entry-vm", f.entries[2].name).Info("stopping an entry VM as planned")
+	f.entries[2].stop(duration)
+	callers.Wait()
+	return err
+}
+
+// report prints the line of counts and tells whether the demo passed.
+func (t *traffic) report(f *fleet) (bool, error) {
+	twice, err := t.ranTwice(f)
+	if err != nil {
+		return false, err
+	}
+	c := t.counts
+	ok := twice == 0 && c.mismatched == 0
+	for _, s := range services {
+		if c.byKind[s.kind] == 0 {
+			fmt.Printf("no request of kind %s was answered\n", s.kind)
+			ok = false
+		}
+	}
+	if len(c.reasons) > 0 {
+		fmt.Printf("reasons: %v\n", c.reasons)
+	}
+	fmt.Printf("sent=%d answered=%d not-run=%d unknown=%d run-twice=%d mismatched=%d\n",
+		c.sent, c.answered, c.notRun, c.unknown, twice, c.mismatched)
+	return ok, nil
+}
--- /dev/null
+++ b/cmd/fulmarhitch/entry.go
@@ -0,0 +1,27 @@
+package main
+
+import (
+	"os"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/fulmarhitch/fulmarhitch/entry"
+	"github.com/fulmarhitch/fulmarhitch/settings"
+)
+
+// runEntry starts the entry services with the settings and logs JSON lines to standard error.
+func runEntry(s *settings.Settings) error {
+	log := logrus.New()
+	log.SetOutput(os.Stderr)
+	log.SetFormatter(&logrus.JSONFormatter{})
+	level, err := logrus.ParseLevel(s.LogLevel)
+	if err != nil {
+		return fail(refused, err)
+	}
+	log.SetLevel(level)
+	e, err := entry.New(s, log.WithFields(logrus.Fields{"vm": s.Name, "failure-domain": s.FailureDomain}))
+	if err != nil {
+		return err
+	}
+	return e.Run()
+}
--- a/cmd/fulmarhitch/run.go
+++ b/cmd/fulmarhitch/run.go
@@ -22,8 +22,3 @@
 	}
 	return runEntry(s)
 }
-
-// runEntry starts the entry services with the settings.
-func runEntry(*settings.Settings) error {
-	return errors.New("entry: not built yet")
-}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,221 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"net"
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kratos/kratos/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/fulmarhitch/fulmarhitch/declaration"
+	"github.com/fulmarhitch/fulmarhitch/exchange"
+	"github.com/fulmarhitch/fulmarhitch/front"
+	"github.com/fulmarhitch/fulmarhitch/generation"
+	"github.com/fulmarhitch/fulmarhitch/gossip"
+	"github.com/fulmarhitch/fulmarhitch/group"
+	"github.com/fulmarhitch/fulmarhitch/kernel"
+	"github.com/fulmarhitch/fulmarhitch/key"
+	"github.com/fulmarhitch/fulmarhitch/ledger"
+	"github.com/fulmarhitch/fulmarhitch/member"
+	"github.com/fulmarhitch/fulmarhitch/metric"
+	"github.com/fulmarhitch/fulmarhitch/peer"
+	"github.com/fulmarhitch/fulmarhitch/reader"
+	"github.com/fulmarhitch/fulmarhitch/ring"
+	"github.com/fulmarhitch/fulmarhitch/route"
+	"github.com/fulmarhitch/fulmarhitch/settings"
+	"github.com/fulmarhitch/fulmarhitch/store"
+	"github.com/fulmarhitch/fulmarhitch/suspect"
+	"github.com/fulmarhitch/fulmarhitch/upstream"
+	"github.com/fulmarhitch/fulmarhitch/vmlist"
+)
+
+const (
+	// ledgerLimit bounds the keys of one process. A key takes about 100 bytes, so that a full ledger leaves most of a
+	// node's 128 MB for control.
+	ledgerLimit = 500_000
+	// announcedSize bounds the generations that wait for the reader; it pulls the latest whichever it takes.
+	announcedSize = 16
+	// addressSlack is added to the lifetime of address answers in a planned stop, for callers whose clocks run slowly.
+	addressSlack = time.Second
+)
+
+// Entry is an entry VM's process.
+type Entry struct {
+	settings    *settings.Settings
+	log         *logrus.Entry
+	incarnation uint64
+	self        member.Member
+	started     time.Time
+
+	kernel   *kernel.Kernel
+	holder   *generation.Holder
+	gossip   *gossip.Gossip
+	groups   *group.Registry
+	ledger   *ledger.Ledger
+	metrics  *metric.Metrics
+	peers    *peer.Client
+	exchange *exchange.Exchanger
+	store    *store.Client
+	vms      *vmlist.Client
+	reader   *reader.Reader
+	router   *route.Router
+	suspects *suspect.Tracker
+	front    *front.Server
+	peerEnd  *peerServer
+	ready    readiness
+}
+
+// New returns the process for the settings. It opens the two listening sockets, so that a taken address is found
+// before anything runs.
+func New(s *settings.Settings, log *logrus.Entry) (*Entry, error) {
+	callers, err := net.Listen("tcp", s.Address)
+	if err != nil {
+		return nil, errors.Wrap(err, "entry: listen for callers")
+	}
+	peers, err := net.Listen("tcp", s.PeerAddress)
+	if err != nil {
+		return nil, errors.CombineErrors(errors.Wrap(err, "entry: listen for peers"), callers.Close())
+	}
+	e := &Entry{settings: s, log: log, incarnation: newIncarnation(), started: time.Now(), kernel: kernel.New()}
+	e.self = member.Member{
+		Name: s.Name, Incarnation: key.FormatIncarnation(e.incarnation), FailureDomain: s.FailureDomain,
+		Address: callers.Addr().String(), PeerAddress: peers.Addr().String(),
+	}
+	e.build(callers, peers)
+	return e, nil
+}
+
+// newIncarnation returns a number that no other process of the fleet has.
+func newIncarnation() uint64 {
+	var b [8]byte
+	// Read never fails; it ends the process if the system has no random bits.
+	_, _ = rand.Read(b[:])
+	return binary.BigEndian.Uint64(b[:])
+}
+
+// build makes the services and registers them in the order of their start.
+func (e *Entry) build(callers, peers net.Listener) {
+	e.holder = generation.New(declaration.Parse)
+	e.metrics = metric.New()
+	e.ledger = ledger.New(e.incarnation, ledgerLimit, e.started)
+	e.peers = peer.New(peer.DefaultOptions())
+	e.gossip = gossip.New(e.self, e.peers, gossip.DefaultOptions(), e.log)
+	e.gossip.List(e.seeds())
+	e.groups = group.New(e.incarnation)
+	e.exchange = exchange.New(e.connections)
+	e.store = store.New(e.settings.StoreAddress)
+	e.vms = vmlist.New(e.settings.VMListAddress)
+	e.suspects = suspect.New(e.gossip.Publish)
+	announced := ring.New[uint64](announcedSize)
+	e.reader = reader.New(reader.Config{
+		Store: e.store, Holder: e.holder, IsReader: e.isReader, Announced: announced.Items(), Pull: e.pull, Log: e.log,
+	})
+	e.router = route.New(route.Config{
+		Incarnation: e.incarnation, Groups: e.groups, Upstreams: e.exchange, Peers: e.peers, Suspects: e.suspects,
+		Ledger: e.ledger, Metrics: e.metrics, Sender: e.gossip.Sender, Live: e.gossip.Live, Admit: e.admit,
+		Observed: func(service, name string, s upstream.State, now time.Time) {
+			e.observed(service, name, s, group.Exchange, now)
+		},
+	})
+	e.front = e.newFront(callers)
+	e.peerEnd = newPeerServer(peers, peer.Hooks{
+		Ping: e.gossip.Ping, Push: e.gossip.Push, Compare: e.gossip.Compare, Pull: e.servePull, Run: e.router.Serve,
+	}, e.log)
+	e.register(announced)
+}
+
+// seeds returns the peers of the settings.
+func (e *Entry) seeds() []member.Listed {
+	var listed []member.Listed
+	for _, address := range e.settings.Peers {
+		listed = append(listed, member.Listed{Name: address, PeerAddress: address})
+	}
+	return listed
+}
+
+// connections returns this VM's share of the connections to each upstream of the service.
+func (e *Entry) connections(service string) int {
+	current := e.holder.Current()
+	if current == nil {
+		return 0
+	}
+	s := current.Declaration.Service(service)
+	if s == nil {
+		// A request that was accepted under an earlier configuration finishes on one connection.
+		return 1
+	}
+	return s.Connections / current.Declaration.MaxEntryVMs
+}
+
+// observed takes the state of an upstream and tells the peers if it is news.
+func (e *Entry) observed(service, name string, s upstream.State, source group.Source, now time.Time) {
+	if e.groups.Observe(service, name, s, source, now) {
+		e.log.WithFields(logrus.Fields{"service": service, "upstream": name, "state": s}).Info("upstream changed its state")
+		e.publish(service, name, s)
+	}
+}
+
+// Start starts the services and returns once they run; Close ends them.
+func (e *Entry) Start(ctx context.Context) error {
+	ended := make(chan error, 1)
+	go func() { ended <- e.kernel.Start(ctx) }()
+	select {
+	case <-e.kernel.Running():
+		return nil
+	case err := <-ended:
+		return err
+	}
+}
+
+// Close ends the services without a drain and closes the connections.
+func (e *Entry) Close(ctx context.Context) error {
+	err := e.kernel.Stop(ctx)
+	e.exchange.Close()
+	e.peers.Close()
+	e.store.Close()
+	e.vms.Close()
+	return err
+}
+
+// Member returns the process's identity with its addresses.
+func (e *Entry) Member() member.Member {
+	return e.self
+}
+
+// Run runs the process until it is told to stop by SIGTERM or SIGINT, or until a service fails.
+func (e *Entry) Run() error {
+	app := kratos.New(
+		kratos.ID(e.self.Incarnation), kratos.Name("fulmarhitch"), kratos.Logger(frameLogger{e.log}),
+		kratos.Server(e.kernel), kratos.Signal(syscall.SIGTERM, os.Interrupt),
+		kratos.StopTimeout(e.settings.StopTimeout), kratos.BeforeStop(e.Drain),
+	)
+	e.log.WithFields(logrus.Fields{
+		"address": e.self.Address, "peer-address": e.self.PeerAddress, "incarnation": e.self.Incarnation,
+	}).Info("entry VM starts")
+	return app.Run()
+}
+
+// Drain is the first part of a planned stop. Callers may keep an address answer for its lifetime, so the process
+// serves on for that long, and then until the running requests have ended.
+func (e *Entry) Drain(context.Context) error {
+	e.gossip.Leave()
+	lifetime := time.Duration(0)
+	if current := e.holder.Current(); current != nil {
+		lifetime = current.Declaration.AddressLifetime + addressSlack
+	}
+	e.log.WithField("lifetime", lifetime.String()).Info("entry VM leaves")
+	time.Sleep(lifetime)
+	for end := time.Now().Add(e.settings.StopTimeout); e.front.Running()+e.peerEnd.Running() > 0 && time.Now().Before(end); {
+		time.Sleep(drainCheck)
+	}
+	return nil
+}
+
+// drainCheck is the time between two looks at the running requests.
+const drainCheck = 20 * time.Millisecond
--- /dev/null
+++ b/entry/readiness.go
@@ -0,0 +1,77 @@
+package entry
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/fulmarhitch/fulmarhitch/member"
+	"github.com/fulmarhitch/fulmarhitch/outcome"
+)
+
+// isolatedAfter is the silence of the store and of all peers after which a VM refuses requests, because another
+// configuration may be in force. It leaves 1 s of the 5 s in which a change has to be in force everywhere.
+const isolatedAfter = 4 * time.Second
+
+// readiness tells whether the process may serve requests. Once set it stays.
+type readiness struct {
+	set atomic.Bool
+}
+
+// admit returns the reason to refuse requests, or an empty one.
+func (e *Entry) admit() outcome.Reason {
+	if !e.ready.set.Load() && !e.becomeReady() {
+		return outcome.NotReady
+	}
+	if e.isolated(time.Now()) {
+		return outcome.Isolated
+	}
+	return ""
+}
+
+// isolated tells whether the VM has heard neither the store nor a peer for long, though it knows of peers.
+func (e *Entry) isolated(now time.Time) bool {
+	if now.Sub(e.gossip.LastHeard()) < isolatedAfter {
+		return false
+	}
+	return now.Sub(e.reader.Confirmed()) >= isolatedAfter && e.gossip.Others() > 0
+}
+
+// becomeReady sets readiness once a configuration is in force here that the store or enough peers have confirmed,
+// and the fleet has room for this VM.
+func (e *Entry) becomeReady() bool {
+	p := e.router.Plan()
+	if p == nil {
+		return false
+	}
+	live := e.gossip.Live()
+	if len(live) > p.Declaration.MaxEntryVMs {
+		return false
+	}
+	if e.reader.Confirmed().IsZero() && !e.confirmedByPeers(live) {
+		return false
+	}
+	e.ready.set.Store(true)
+	e.log.WithField("generation", e.holder.Generation()).Info("entry VM is ready")
+	return true
+}
+
+// confirmedByPeers tells whether peers of at least two failure domains, or of the only one, have announced their
+// generations and none is above this VM's.
+func (e *Entry) confirmedByPeers(live []member.Member) bool {
+	generations := e.gossip.Generations()
+	all, heard := make(map[string]bool), make(map[string]bool)
+	for _, m := range live {
+		if m.Name == e.self.Name {
+			continue
+		}
+		all[m.FailureDomain] = true
+		n := generations[m.Name]
+		if n > e.holder.Generation() {
+			return false
+		}
+		if n > 0 {
+			heard[m.FailureDomain] = true
+		}
+	}
+	return len(heard) >= min(2, max(len(all), 1))
+}
--- /dev/null
+++ b/front/address.go
@@ -0,0 +1,65 @@
+package front
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/fulmarhitch/fulmarhitch/steer"
+)
+
+// addressesWire is the JSON form of an address answer.
+type addressesWire struct {
+	Generation uint64        `json:"generation"`
+	LifetimeMs int64         `json:"lifetime-ms"`
+	NowMs      int64         `json:"now-ms"`
+	Addresses  []addressWire `json:"addresses"`
+}
+
+type addressWire struct {
+	Address       string `json:"address"`
+	Incarnation   string `json:"incarnation"`
+	FailureDomain string `json:"failure-domain"`
+}
+
+// addresses answers which entry VMs a caller should use.
+func (s *Server) addresses(w http.ResponseWriter, req *http.Request) {
+	handle(w, req, http.MethodGet, func(req *http.Request) (addressesWire, *fault) {
+		q := req.URL.Query()
+		a, err := s.config.Addresses(q.Get("service"), callerOf(q), time.Now())
+		if err != nil {
+			status := http.StatusServiceUnavailable
+			if errors.Is(err, steer.ErrNoService) {
+				status = http.StatusNotFound
+			}
+			return addressesWire{}, &fault{status: status, message: err.Error()}
+		}
+		wire := encodeAddresses(a)
+		if current := s.config.Current(); current != nil {
+			wire.Generation = current.Envelope.Generation
+		}
+		return wire, nil
+	})
+}
+
+// callerOf returns what the query tells of the caller.
+func callerOf(q url.Values) steer.Caller {
+	c := steer.Caller{FailureDomain: q.Get("failure-domain"), Token: rand.Uint64()}
+	if token := q.Get("token"); token != "" {
+		c.Token = xxhash.Sum64String(token)
+	}
+	return c
+}
+
+func encodeAddresses(a steer.Addresses) addressesWire {
+	wire := addressesWire{LifetimeMs: a.Lifetime.Milliseconds(), NowMs: a.Now.UnixMilli()}
+	for _, one := range a.List {
+		wire.Addresses = append(wire.Addresses, addressWire{
+			Address: one.Address, Incarnation: one.Incarnation, FailureDomain: one.FailureDomain})
+	}
+	return wire
+}
--- /dev/null
+++ b/front/call.go
@@ -0,0 +1,156 @@
+package front
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fulmarhitch/fulmarhitch/declaration"
+	"github.com/fulmarhitch/fulmarhitch/header"
+	"github.com/fulmarhitch/fulmarhitch/outcome"
+	"github.com/fulmarhitch/fulmarhitch/request"
+)
+
+const (
+	callPrefix = "/v1/call/"
+	// maxIDLength bounds a request identifier, which is kept and logged.
+	maxIDLength = 128
+)
+
+// call serves one caller's request.
+func (s *Server) call(w http.ResponseWriter, req *http.Request) {
+	s.running.Add(1)
+	defer s.running.Add(-1)
+	arrived := time.Now()
+	id := req.Header.Get(header.RequestID)
+	r, refusal := s.decodeCall(w, req, arrived)
+	if refusal != nil {
+		writeOutcome(w, id, *refusal)
+		return
+	}
+	writeOutcome(w, id, s.config.Run(req.Context(), r))
+}
+
+// decodeCall returns the request with the rules of its kind, or the refusal of a bad one.
+func (s *Server) decodeCall(w http.ResponseWriter, req *http.Request, now time.Time) (*request.Request, *outcome.NotRun) {
+	current := s.config.Current()
+	if current == nil {
+		return nil, &outcome.NotRun{Reason: outcome.NotReady, Detail: "no configuration is in force yet"}
+	}
+	service, kind, path, refusal := target(current.Declaration, req)
+	if refusal != nil {
+		return nil, refusal
+	}
+	r := &request.Request{
+		ID: req.Header.Get(header.RequestID), Key: req.Header.Get(header.Key),
+		Tenant: service.Tenant, Service: service.Name, Kind: kind.Name, Class: kind.Class,
+		Method: req.Method, Path: path, Header: header.EndToEnd(req.Header),
+		Weight: kind.Weight, Idempotent: kind.Idempotent, Long: kind.Long,
+	}
+	if refusal := checkHeaders(r, req, kind, now); refusal != nil {
+		return nil, refusal
+	}
+	if refusal := readBody(r, w, req, service.MaxBody); refusal != nil {
+		return nil, refusal
+	}
+	return r, nil
+}
+
+// target finds the service and kind that the path names; the rest of the path goes to the upstream.
+func target(d *declaration.Declaration, req *http.Request) (*declaration.Service, *declaration.Kind, string, *outcome.NotRun) {
+	parts := strings.SplitN(strings.TrimPrefix(req.URL.EscapedPath(), callPrefix), "/", 3)
+	service := d.Service(parts[0])
+	if service == nil {
+		return nil, nil, "", badRequest("path: unknown service " + strconv.Quote(parts[0]))
+	}
+	var kind *declaration.Kind
+	if len(parts) > 1 {
+		kind = service.Kind(parts[1])
+	}
+	if kind == nil {
+		return nil, nil, "", badRequest("path: unknown kind of service " + strconv.Quote(service.Name))
+	}
+	path := ""
+	if len(parts) == 3 {
+		path = parts[2]
+	}
+	if req.URL.RawQuery != "" {
+		path += "?" + req.URL.RawQuery
+	}
+	return service, kind, path, nil
+}
+
+// checkHeaders reads and checks the protocol's headers into r.
+func checkHeaders(r *request.Request, req *http.Request, kind *declaration.Kind, now time.Time) *outcome.NotRun {
+	if r.ID == "" || len(r.ID) > maxIDLength {
+		return badRequest(header.RequestID + ": 1 to " + strconv.Itoa(maxIDLength) + " characters are needed")
+	}
+	timeout := kind.Timeout
+	if text := req.Header.Get(header.Deadline); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 32)
+		if err != nil || ms < 1 {
+			return badRequest(header.Deadline + ": want a whole number of ms from 1, got " + strconv.Quote(text))
+		}
+		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
+	}
+	r.Deadline = now.Add(timeout)
+	if text := req.Header.Get(header.Depth); text != "" {
+		depth, err := strconv.ParseUint(text, 10, 16)
+		if err != nil {
+			return badRequest(header.Depth + ": want a whole number, got " + strconv.Quote(text))
+		}
+		r.Depth = int(depth)
+	}
+	if r.Depth >= request.MaxDepth {
+		return &outcome.NotRun{Reason: outcome.TooDeep, Detail: header.Depth + ": at most " + strconv.Itoa(request.MaxDepth)}
+	}
+	r.Depth++
+	switch {
+	case kind.Idempotent:
+		r.Key = ""
+	case req.Method != http.MethodPost:
+		return badRequest("method: a request of kind " + strconv.Quote(kind.Name) + " is not idempotent and must be POST")
+	case r.Key == "":
+		return badRequest(header.Key + ": a request of kind " + strconv.Quote(kind.Name) + " is not idempotent and needs a key")
+	}
+	return nil
+}
+
+// readBody reads the whole body within the limit.
+func readBody(r *request.Request, w http.ResponseWriter, req *http.Request, limit int) *outcome.NotRun {
+	if req.ContentLength > int64(limit) {
+		return tooLarge(limit)
+	}
+	if req.ContentLength == 0 {
+		return nil
+	}
+	if req.ContentLength > 0 {
+		r.Body = make([]byte, req.ContentLength)
+		if _, err := io.ReadFull(req.Body, r.Body); err != nil {
+			return badRequest("body: ended early: " + err.Error())
+		}
+		return nil
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, int64(limit)))
+	if err != nil {
+		var large *http.MaxBytesError
+		if errors.As(err, &large) {
+			return tooLarge(limit)
+		}
+		return badRequest("body: " + err.Error())
+	}
+	r.Body = body
+	return nil
+}
+
+func badRequest(detail string) *outcome.NotRun {
+	return &outcome.NotRun{Reason: outcome.BadRequest, Detail: detail}
+}
+
+func tooLarge(limit int) *outcome.NotRun {
+	return &outcome.NotRun{Reason: outcome.TooLarge, Detail: "body: at most " + strconv.Itoa(limit) + " bytes"}
+}
--- /dev/null
+++ b/planner/planner.go
@@ -0,0 +1,188 @@
+package planner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/fulmarhitch/fulmarhitch/generation"
+	"github.com/fulmarhitch/fulmarhitch/gossip"
+	"github.com/fulmarhitch/fulmarhitch/group"
+	"github.com/fulmarhitch/fulmarhitch/member"
+	"github.com/fulmarhitch/fulmarhitch/metric"
+	"github.com/fulmarhitch/fulmarhitch/peerpb"
+	"github.com/fulmarhitch/fulmarhitch/plan"
+	"github.com/fulmarhitch/fulmarhitch/ring"
+	"github.com/fulmarhitch/fulmarhitch/upstream"
+)
+
+// checkInterval is how often the membership is compared with the plan's. A home that died is replaced that much
+// later; the comparison costs a few microseconds.
+const checkInterval = 100 * time.Millisecond
+
+// Config holds what a Planner works with.
+type Config struct {
+	Self    member.Member
+	Holder  *generation.Holder
+	Gossip  *gossip.Gossip
+	Groups  *group.Registry
+	Metrics *metric.Metrics
+	// Apply takes each new plan.
+	Apply func(*plan.Plan)
+	// Suspect takes the death of an upstream that a peer reported.
+	Suspect func(*peerpb.SuspectEvent)
+	// Announced takes the generations that peers announce.
+	Announced *ring.Ring[uint64]
+	Log       logrus.FieldLogger
+}
+
+// Planner is the kernel service with the duty of planning.
+type Planner struct {
+	config Config
+	cancel context.CancelFunc
+	duty   sync.WaitGroup
+
+	generation uint64
+	members    []member.Member
+	// announced is the highest generation that was handed on.
+	announced uint64
+}
+
+// New returns a planner that has not started.
+func New(c Config) *Planner {
+	return &Planner{config: c}
+}
+
+// Start begins the duty.
+func (p *Planner) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	events := p.config.Gossip.Subscribe()
+	p.duty.Go(func() { p.run(ctx, events) })
+	return nil
+}
+
+// Stop ends the duty.
+func (p *Planner) Stop(context.Context) error {
+	p.cancel()
+	p.duty.Wait()
+	return nil
+}
+
+func (p *Planner) run(ctx context.Context, events <-chan *peerpb.Event) {
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	for {
+		changed := p.config.Holder.Changed()
+		p.refresh(time.Now())
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-ticker.C:
+		case e := <-events:
+			p.take(e, time.Now())
+		}
+	}
+}
+
+// refresh builds a new plan if the configuration or the usable members have changed.
+func (p *Planner) refresh(now time.Time) {
+	current := p.config.Holder.Current()
+	if current == nil {
+		return
+	}
+	live := p.config.Gossip.Live()
+	if current.Envelope.Generation == p.generation && sameMembers(live, p.members) {
+		return
+	}
+	next := plan.New(current.Declaration, live, p.config.Self)
+	p.config.Groups.Apply(next, now)
+	p.config.Apply(next)
+	p.config.Metrics.SetMembers(len(live))
+	if current.Envelope.Generation != p.generation {
+		p.inForce(current, next)
+	}
+	p.generation, p.members = current.Envelope.Generation, live
+}
+
+// inForce tells everybody that a generation has come into force here.
+func (p *Planner) inForce(current *generation.Current, next *plan.Plan) {
+	var groups []string
+	for id := range next.Groups() {
+		groups = append(groups, id)
+	}
+	p.config.Metrics.Update(current.Declaration, groups)
+	p.config.Metrics.SetGeneration(current.Envelope.Generation)
+	p.config.Gossip.SetGeneration(current.Envelope.Generation)
+	p.config.Log.WithFields(logrus.Fields{
+		"generation": current.Envelope.Generation, "submission": current.Envelope.Submission,
+	}).Info("configuration is in force")
+}
+
+// take hands an event of a peer to the service that it concerns.
+func (p *Planner) take(e *peerpb.Event, now time.Time) {
+	switch k := e.GetKind().(type) {
+	case *peerpb.Event_Member:
+		p.config.Metrics.Event("member")
+	case *peerpb.Event_Upstream:
+		p.config.Metrics.Event("upstream")
+		p.config.Groups.Observe(k.Upstream.GetService(), k.Upstream.GetUpstream(), StateOf(k.Upstream.GetState()), group.Peer, now)
+	case *peerpb.Event_Suspect:
+		p.config.Metrics.Event("suspect")
+		p.config.Suspect(k.Suspect)
+	case *peerpb.Event_Generation:
+		p.config.Metrics.Event("generation")
+		// A full ring means that the reader pulls already; it then pulls the latest.
+		if n := k.Generation.GetGeneration(); n > p.announced && p.config.Announced.Offer(n) {
+			p.announced = n
+		}
+	}
+}
+
+// sameMembers tells whether two lists hold the same processes with the same use.
+func sameMembers(a, b []member.Member) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i].Name != b[i].Name || a[i].Incarnation != b[i].Incarnation || a[i].Usable() != b[i].Usable() ||
+			a[i].PeerAddress != b[i].PeerAddress {
+			return false
+		}
+	}
+	return true
+}
+
+// StateOf returns the state that an event reports.
+func StateOf(s peerpb.UpstreamEvent_State) upstream.State {
+	switch s {
+	case peerpb.UpstreamEvent_STATE_READY:
+		return upstream.Ready
+	case peerpb.UpstreamEvent_STATE_COLD:
+		return upstream.Cold
+	case peerpb.UpstreamEvent_STATE_DRAINING:
+		return upstream.Draining
+	case peerpb.UpstreamEvent_STATE_EJECTED:
+		return upstream.Failing
+	default:
+		return upstream.Unstated
+	}
+}
+
+// EventOf returns the event that reports a state.
+func EventOf(service, name string, s upstream.State) *peerpb.Event {
+	state := peerpb.UpstreamEvent_STATE_READY
+	switch s {
+	case upstream.Cold:
+		state = peerpb.UpstreamEvent_STATE_COLD
+	case upstream.Draining:
+		state = peerpb.UpstreamEvent_STATE_DRAINING
+	case upstream.Failing:
+		state = peerpb.UpstreamEvent_STATE_EJECTED
+	case upstream.Ready, upstream.Unstated:
+	}
+	return &peerpb.Event{Kind: &peerpb.Event_Upstream{Upstream: &peerpb.UpstreamEvent{Service: service, Upstream: name, State: state}}}
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -140,3 +140,8 @@
 func (d deaths) expired(now time.Time) bool {
 	return d[1].At.IsZero() || now.Sub(d[1].At) >= Span
 }
+
+// Remove forgets the fingerprint. A request that an upstream has answered does not crash the upstreams that run it.
+func (t *Table) Remove(fingerprint uint64) {
+	delete(t.suspect, fingerprint)
+}
--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,304 @@
+package route_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fulmarhitch/fulmarhitch/declaration"
+	"github.com/fulmarhitch/fulmarhitch/exchange"
+	"github.com/fulmarhitch/fulmarhitch/group"
+	"github.com/fulmarhitch/fulmarhitch/key"
+	"github.com/fulmarhitch/fulmarhitch/ledger"
+	"github.com/fulmarhitch/fulmarhitch/member"
+	"github.com/fulmarhitch/fulmarhitch/metric"
+	"github.com/fulmarhitch/fulmarhitch/outcome"
+	"github.com/fulmarhitch/fulmarhitch/peer"
+	"github.com/fulmarhitch/fulmarhitch/peerpb"
+	"github.com/fulmarhitch/fulmarhitch/plan"
+	"github.com/fulmarhitch/fulmarhitch/request"
+	"github.com/fulmarhitch/fulmarhitch/route"
+	"github.com/fulmarhitch/fulmarhitch/suspect"
+	"github.com/fulmarhitch/fulmarhitch/upstream"
+)
+
+const incarnation = 0xa1
+
+// upstreams is a fake that answers each exchange with the next result.
+type upstreams struct {
+	mu      sync.Mutex
+	results []exchange.Result
+	calls   int
+	delay   time.Duration
+}
+
+func (u *upstreams) Do(context.Context, *request.Request, declaration.Upstream, int) exchange.Result {
+	time.Sleep(u.delay)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.calls++
+	res := u.results[0]
+	if len(u.results) > 1 {
+		u.results = u.results[1:]
+	}
+	return res
+}
+
+// peers is a fake whose answers are outcomes or errors.
+type peers struct {
+	out   outcome.Outcome
+	err   error
+	calls []peerpb.RunRequest_Mode
+}
+
+func (p *peers) Run(_ context.Context, _ string, m *peerpb.RunRequest) (*peerpb.RunResponse, error) {
+	p.calls = append(p.calls, m.GetMode())
+	if p.err != nil {
+		return nil, p.err
+	}
+	return peer.EncodeOutcome(m.GetRequestId(), p.out, 0, 0), nil
+}
+
+var (
+	answered = exchange.Result{Class: exchange.Answered, Outcome: outcome.Answered{Status: 200}}
+	refused  = exchange.Result{Class: exchange.Refused, Outcome: outcome.NotRun{Reason: outcome.Refused}}
+	unsent   = exchange.Result{Class: exchange.Unsent, Outcome: outcome.NotRun{Reason: outcome.Unreachable}}
+	lost     = exchange.Result{Class: exchange.Lost, Outcome: outcome.Unknown{Reason: outcome.ConnectionLost}}
+	died     = exchange.Result{Class: exchange.Died, Outcome: outcome.Unknown{Reason: outcome.ConnectionLost}}
+	timedOut = exchange.Result{Class: exchange.TimedOut, Outcome: outcome.Unknown{Reason: outcome.Timeout}}
+	cut      = exchange.Result{Class: exchange.Truncated, Outcome: outcome.Unknown{Reason: outcome.Truncated}}
+)
+
+var self = member.Member{Name: "e1", Incarnation: key.FormatIncarnation(incarnation), FailureDomain: "a",
+	Address: "127.0.0.1:1", PeerAddress: "127.0.0.1:2", State: member.Alive}
+
+// other is an entry VM of the same failure domain that is home of the group where self is not live.
+var other = member.Member{Name: "e2", Incarnation: key.FormatIncarnation(0xb2), FailureDomain: "a",
+	Address: "127.0.0.1:3", PeerAddress: "127.0.0.1:4", State: member.Alive}
+
+func declared() *declaration.Declaration {
+	return &declaration.Declaration{
+		MaxEntryVMs: 2, FailureDomains: []declaration.FailureDomain{{Name: "a", Region: "r"}}, Tenants: []string{"t"},
+		Services: []declaration.Service{{
+			Name: "s", Tenant: "t", Connections: 10, RetryRatio: 0.2, QueueLength: 100, LongShare: 1, MaxBody: 100, MaxAnswer: 100,
+			Kinds: []declaration.Kind{
+				{Name: "get", Class: "short", Idempotent: true, Weight: 1, Timeout: time.Second},
+				{Name: "act", Class: "short", Weight: 1, Timeout: time.Second},
+			},
+			Upstreams: []declaration.Upstream{
+				{Name: "u1", Address: "127.0.0.1:11", FailureDomain: "a", Slots: 2},
+				{Name: "u2", Address: "127.0.0.1:12", FailureDomain: "a", Slots: 2},
+			},
+		}},
+	}
+}
+
+// bench is a router between fakes.
+type bench struct {
+	router    *route.Router
+	upstreams *upstreams
+	peers     *peers
+	groups    *group.Registry
+	admit     outcome.Reason
+}
+
+// newBench returns a router whose plan knows the live members.
+func newBench(live []member.Member, results ...exchange.Result) *bench {
+	b := &bench{upstreams: &upstreams{results: results, delay: time.Millisecond}, peers: &peers{}, groups: group.New(1)}
+	b.router = route.New(route.Config{
+		Incarnation: incarnation, Groups: b.groups, Upstreams: b.upstreams, Peers: b.peers,
+		Suspects: suspect.New(func(*peerpb.Event) {}), Ledger: ledger.New(incarnation, 1000, time.Now()),
+		Metrics: metric.New(), Sender: func() *peerpb.Sender { return &peerpb.Sender{} },
+		Live:  func() []member.Member { return live },
+		Admit: func() outcome.Reason { return b.admit }, Observed: func(string, string, upstream.State, time.Time) {},
+	})
+	p := plan.New(declared(), live, self)
+	b.groups.Apply(p, time.Now())
+	b.router.SetPlan(p)
+	return b
+}
+
+// stop ends the dispatchers.
+func (b *bench) stop() {
+	_ = b.groups.Stop(context.Background())
+}
+
+// fill lets the retry budget cover a retry.
+func (b *bench) fill() {
+	results := b.upstreams.results
+	b.upstreams.results = []exchange.Result{answered}
+	for range 6 {
+		b.router.Run(context.Background(), ask("get", key.Key{}))
+	}
+	b.upstreams.results, b.upstreams.calls = results, 0
+}
+
+func ask(kind string, k key.Key) *request.Request {
+	r := &request.Request{ID: "r", Tenant: "t", Service: "s", Kind: kind, Class: "short", Method: "POST",
+		Body: []byte(kind), Deadline: time.Now().Add(time.Second), Weight: 1, Idempotent: kind == "get"}
+	if !r.Idempotent {
+		r.Key = k.String()
+	}
+	return r
+}
+
+func ownKey() key.Key {
+	return key.New(incarnation, time.Now().Add(key.Lifetime))
+}
+
+// TestOutcome guards against a request that runs more often than its kind allows, and against "not run" told of a
+// request that may have run.
+func TestOutcome(t *testing.T) {
+	for name, c := range map[string]struct {
+		kind    string
+		results []exchange.Result
+		want    outcome.Outcome
+		calls   int
+	}{
+		"answered":                     {"act", []exchange.Result{answered}, answered.Outcome, 1},
+		"act refused, then answered":   {"act", []exchange.Result{refused, answered}, answered.Outcome, 2},
+		"act refused twice":            {"act", []exchange.Result{refused, refused}, outcome.NotRun{Reason: outcome.Refused}, 2},
+		"act unsent, then answered":    {"act", []exchange.Result{unsent, answered}, answered.Outcome, 2},
+		"act lost":                     {"act", []exchange.Result{lost, answered}, lost.Outcome, 1},
+		"act died":                     {"act", []exchange.Result{died, answered}, died.Outcome, 1},
+		"act truncated":                {"act", []exchange.Result{cut, answered}, cut.Outcome, 1},
+		"act refused, then lost":       {"act", []exchange.Result{refused, lost}, lost.Outcome, 2},
+		"look-up lost, then answered":  {"get", []exchange.Result{lost, answered}, answered.Outcome, 2},
+		"look-up lost twice":           {"get", []exchange.Result{lost, lost}, lost.Outcome, 2},
+		"look-up truncated, answered":  {"get", []exchange.Result{cut, answered}, answered.Outcome, 2},
+		"look-up timed out":            {"get", []exchange.Result{timedOut, answered}, timedOut.Outcome, 1},
+		"look-up lost, then not run":   {"get", []exchange.Result{lost, refused}, outcome.Unknown{Reason: outcome.ConnectionLost}, 2},
+		"look-up died, then unsent":    {"get", []exchange.Result{died, unsent}, outcome.Unknown{Reason: outcome.ConnectionLost}, 2},
+		"look-up refused, then lost":   {"get", []exchange.Result{refused, lost}, lost.Outcome, 2},
+		"look-up died, then answered":  {"get", []exchange.Result{died, answered}, answered.Outcome, 2},
+		"look-up unsent, then refused": {"get", []exchange.Result{unsent, refused}, outcome.NotRun{Reason: outcome.Refused}, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				Convey(name, t, func() {
+					b := newBench([]member.Member{self}, c.results...)
+					defer b.stop()
+					b.fill()
+					got := b.router.Run(context.Background(), ask(c.kind, ownKey()))
+					So(kindOf(got), ShouldResemble, kindOf(c.want))
+					So(b.upstreams.calls, ShouldEqual, c.calls)
+				})
+			})
+		})
+	}
+}
+
+// kindOf drops the details of an outcome.
+func kindOf(out outcome.Outcome) outcome.Outcome {
+	switch o := out.(type) {
+	case outcome.NotRun:
+		return outcome.NotRun{Reason: o.Reason}
+	case outcome.Unknown:
+		return outcome.Unknown{Reason: o.Reason}
+	case outcome.Answered:
+		return outcome.Answered{Status: o.Status}
+	default:
+		return out
+	}
+}
+
+// TestKey guards against a non-idempotent request that runs twice under one key, or anywhere but at the incarnation
+// that its key names.
+func TestKey(t *testing.T) {
+	foreign := key.New(0xb2, time.Now().Add(time.Hour))
+	for name, c := range map[string]struct {
+		live  []member.Member
+		peer  peers
+		key   string
+		admit outcome.Reason
+		want  outcome.Outcome
+		modes []peerpb.RunRequest_Mode
+	}{
+		"another incarnation": {[]member.Member{self, other}, peers{out: answered.Outcome}, foreign.String(), "", answered.Outcome,
+			[]peerpb.RunRequest_Mode{peerpb.RunRequest_MODE_KEY}},
+		"another incarnation refuses": {[]member.Member{self, other}, peers{out: outcome.NotRun{Reason: outcome.KeyReused}}, foreign.String(), "",
+			outcome.NotRun{Reason: outcome.KeyReused}, []peerpb.RunRequest_Mode{peerpb.RunRequest_MODE_KEY}},
+		"another incarnation unreachable": {[]member.Member{self, other}, peers{err: peer.ErrUnsent}, foreign.String(), "",
+			outcome.Unknown{Reason: outcome.HomeGone}, []peerpb.RunRequest_Mode{peerpb.RunRequest_MODE_KEY}},
+		"another incarnation silent": {[]member.Member{self, other}, peers{err: errors.New("cut")}, foreign.String(), "",
+			outcome.Unknown{Reason: outcome.ConnectionLost}, []peerpb.RunRequest_Mode{peerpb.RunRequest_MODE_KEY}},
+		"another incarnation gone": {[]member.Member{self}, peers{}, foreign.String(), "", outcome.Unknown{Reason: outcome.HomeGone}, nil},
+		"malformed":                {[]member.Member{self}, peers{}, "x", "", outcome.NotRun{Reason: outcome.BadRequest}, nil},
+		"isolated":                 {[]member.Member{self}, peers{}, foreign.String(), outcome.Isolated, outcome.NotRun{Reason: outcome.Isolated}, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				Convey(name, t, func() {
+					b := newBench(c.live, answered)
+					defer b.stop()
+					b.peers.out, b.peers.err, b.admit = c.peer.out, c.peer.err, c.admit
+					req := ask("act", key.Key{})
+					req.Key = c.key
+					So(kindOf(b.router.Run(context.Background(), req)), ShouldResemble, c.want)
+					So(b.peers.calls, ShouldResemble, c.modes)
+					So(b.upstreams.calls, ShouldEqual, 0)
+				})
+			})
+		})
+	}
+}
+
+// TestSameKeyAtOnce guards against two runs of a key that arrives many times at once, or again with another body.
+func TestSameKeyAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given one key that arrives ten times at once", t, func() {
+			b := newBench([]member.Member{self}, answered)
+			defer b.stop()
+			k := ownKey()
+			outs := make([]outcome.Outcome, 10)
+			var all sync.WaitGroup
+			for i := range outs {
+				all.Go(func() { outs[i] = b.router.Run(context.Background(), ask("act", k)) })
+			}
+			all.Wait()
+			for _, out := range outs {
+				So(out, ShouldHaveSameTypeAs, outcome.Answered{})
+			}
+			So(b.upstreams.calls, ShouldEqual, 1)
+			changed := ask("act", k)
+			changed.Body = []byte("other")
+			So(kindOf(b.router.Run(context.Background(), changed)), ShouldResemble, outcome.NotRun{Reason: outcome.KeyReused})
+			So(b.upstreams.calls, ShouldEqual, 1)
+		})
+	})
+}
+
+// TestForward guards against a request that is lost or run twice between an entry VM and the home of its group.
+func TestForward(t *testing.T) {
+	for name, c := range map[string]struct {
+		kind  string
+		peer  peers
+		want  outcome.Outcome
+		calls int
+	}{
+		"home answers":                  {"act", peers{out: answered.Outcome}, answered.Outcome, 0},
+		"home unreachable":              {"act", peers{err: peer.ErrUnsent}, answered.Outcome, 1},
+		"home silent, act":              {"act", peers{err: errors.New("cut")}, outcome.Unknown{Reason: outcome.ConnectionLost}, 0},
+		"home not ready":                {"act", peers{out: outcome.NotRun{Reason: outcome.NotReady}}, answered.Outcome, 1},
+		"home's queue full":             {"act", peers{out: outcome.NotRun{Reason: outcome.QueueFull}}, outcome.NotRun{Reason: outcome.QueueFull}, 0},
+		"home silent, look-up, no room": {"get", peers{err: errors.New("cut")}, outcome.Unknown{Reason: outcome.ConnectionLost}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				Convey(name, t, func() {
+					// The only home is another VM, as when this one is leaving.
+					b := newBench([]member.Member{other}, answered)
+					defer b.stop()
+					b.peers.out, b.peers.err = c.peer.out, c.peer.err
+					So(kindOf(b.router.Run(context.Background(), ask(c.kind, ownKey()))), ShouldResemble, c.want)
+					So(b.upstreams.calls, ShouldEqual, c.calls)
+				})
+			})
+		})
+	}
+}
--- /dev/null
+++ b/route/router.go
@@ -0,0 +1,168 @@
+package route
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/fulmarhitch/fulmarhitch/declaration"
+	"github.com/fulmarhitch/fulmarhitch/exchange"
+	"github.com/fulmarhitch/fulmarhitch/group"
+	"github.com/fulmarhitch/fulmarhitch/key"
+	"github.com/fulmarhitch/fulmarhitch/ledger"
+	"github.com/fulmarhitch/fulmarhitch/member"
+	"github.com/fulmarhitch/fulmarhitch/metric"
+	"github.com/fulmarhitch/fulmarhitch/outcome"
+	"github.com/fulmarhitch/fulmarhitch/peer"
+	"github.com/fulmarhitch/fulmarhitch/peerpb"
+	"github.com/fulmarhitch/fulmarhitch/plan"
+	"github.com/fulmarhitch/fulmarhitch/quarantine"
+	"github.com/fulmarhitch/fulmarhitch/request"
+	"github.com/fulmarhitch/fulmarhitch/upstream"
+)
+
+// Peers sends a request to another entry VM; *peer.Client is one. An error with errors.Is(err, peer.ErrUnsent)
+// tells that no byte was sent.
+type Peers interface {
+	Run(ctx context.Context, address string, m *peerpb.RunRequest) (*peerpb.RunResponse, error)
+}
+
+// Upstreams sends a request to an upstream; *exchange.Exchanger is one.
+type Upstreams interface {
+	Do(ctx context.Context, r *request.Request, up declaration.Upstream, maxAnswer int) exchange.Result
+}
+
+// Suspects knows the requests that were in progress when upstreams died. It is safe for concurrent use.
+type Suspects interface {
+	// Level tells whether the request is suspected or quarantined.
+	Level(fingerprint uint64, now time.Time) quarantine.Level
+	// Died records that the upstream died with the request in progress, and tells the peers.
+	Died(fingerprint uint64, service, upstream string, now time.Time)
+	// Answered clears a request of suspicion.
+	Answered(fingerprint uint64, now time.Time)
+}
+
+// Config holds what a Router works with.
+type Config struct {
+	Incarnation uint64
+	Groups      *group.Registry
+	Upstreams   Upstreams
+	Peers       Peers
+	Suspects    Suspects
+	Ledger      *ledger.Ledger
+	Metrics     *metric.Metrics
+	// Sender returns the identity for messages to peers.
+	Sender func() *peerpb.Sender
+	// Live returns the entry VMs that may be alive.
+	Live func() []member.Member
+	// Admit returns the reason to refuse new requests, or an empty one.
+	Admit func() outcome.Reason
+	// Observed takes an upstream's state from a response.
+	Observed func(service, upstream string, state upstream.State, now time.Time)
+}
+
+// Router runs requests. It is safe for concurrent use.
+type Router struct {
+	config Config
+	plan   atomic.Pointer[plan.Plan]
+}
+
+// New returns a router without a plan, which refuses all requests.
+func New(c Config) *Router {
+	return &Router{config: c}
+}
+
+// SetPlan replaces the routes.
+func (r *Router) SetPlan(p *plan.Plan) {
+	r.plan.Store(p)
+}
+
+// Plan returns the routes, or nil before the first SetPlan.
+func (r *Router) Plan() *plan.Plan {
+	return r.plan.Load()
+}
+
+// Run runs a caller's request and returns its one outcome.
+func (r *Router) Run(ctx context.Context, req *request.Request) outcome.Outcome {
+	began := time.Now()
+	out := r.admit(ctx, req)
+	r.config.Metrics.Class(req.Tenant, req.Class).Done(out, time.Since(began))
+	return out
+}
+
+func (r *Router) admit(ctx context.Context, req *request.Request) outcome.Outcome {
+	if reason := r.config.Admit(); reason != "" {
+		return outcome.NotRun{Reason: reason}
+	}
+	if req.Idempotent {
+		return r.toHome(ctx, req)
+	}
+	k, err := key.Parse(req.Key)
+	if err != nil {
+		return outcome.NotRun{Reason: outcome.BadRequest, Detail: "Fulmarhitch-Key: " + err.Error()}
+	}
+	if k.Incarnation == r.config.Incarnation {
+		return r.once(ctx, k, req)
+	}
+	return r.toIncarnation(ctx, k, req)
+}
+
+// Serve runs a request that another entry VM sent, and returns the outcome with the load of the group.
+func (r *Router) Serve(ctx context.Context, m *peerpb.RunRequest) (*peerpb.RunResponse, error) {
+	now := time.Now()
+	req, err := peer.DecodeRequest(m, now)
+	if err != nil {
+		return nil, err
+	}
+	p := r.Plan()
+	if refusal := describe(p, req); refusal != nil {
+		return peer.EncodeOutcome(req.ID, *refusal, 0, 0), nil
+	}
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	if m.GetMode() == peerpb.RunRequest_MODE_KEY {
+		return peer.EncodeOutcome(req.ID, r.serveKey(ctx, req), 0, 0), nil
+	}
+	g := p.Group(m.GetGroup())
+	if g == nil {
+		// The sender has another generation in force; nothing ran.
+		return peer.EncodeOutcome(req.ID, outcome.NotRun{Reason: outcome.NoUpstream, Detail: "unknown group"}, 0, 0), nil
+	}
+	how := queued
+	if m.GetMode() == peerpb.RunRequest_MODE_SPILL {
+		how = spilled
+	}
+	out := r.inGroup(ctx, g, req, how)
+	free, waiting := r.config.Groups.Get(g).Load()
+	return peer.EncodeOutcome(req.ID, out, free, waiting), nil
+}
+
+func (r *Router) serveKey(ctx context.Context, req *request.Request) outcome.Outcome {
+	if reason := r.config.Admit(); reason != "" {
+		// A first use of the key is refused, but an earlier one may have run.
+		return outcome.Unknown{Reason: outcome.HomeGone, Detail: string(reason)}
+	}
+	k, err := key.Parse(req.Key)
+	if err != nil {
+		return outcome.NotRun{Reason: outcome.BadRequest, Detail: "Fulmarhitch-Key: " + err.Error()}
+	}
+	return r.once(ctx, k, req)
+}
+
+// describe sets the rules of the request's kind from the configuration in force, or returns a refusal.
+func describe(p *plan.Plan, req *request.Request) *outcome.NotRun {
+	if p == nil {
+		return &outcome.NotRun{Reason: outcome.NotReady}
+	}
+	s := p.Service(req.Service)
+	if s == nil {
+		return &outcome.NotRun{Reason: outcome.BadRequest, Detail: "unknown service"}
+	}
+	kind := s.Service.Kind(req.Kind)
+	if kind == nil {
+		return &outcome.NotRun{Reason: outcome.BadRequest, Detail: "unknown kind"}
+	}
+	req.Tenant, req.Class, req.Weight = s.Service.Tenant, kind.Class, kind.Weight
+	req.Idempotent, req.Long = kind.Idempotent, kind.Long
+	return nil
+}
--- /dev/null
+++ b/suspect/tracker.go
@@ -0,0 +1,99 @@
+package suspect
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fulmarhitch/fulmarhitch/peerpb"
+	"github.com/fulmarhitch/fulmarhitch/quarantine"
+)
+
+const (
+	// sameDeath is the time within which broken requests of one upstream count as one death.
+	sameDeath = 2 * time.Second
+	// tableLimit bounds the fingerprints that are remembered.
+	tableLimit = 4096
+	// maxDeaths bounds the upstreams whose last death is remembered.
+	maxDeaths = 4096
+)
+
+// Tracker is safe for concurrent use.
+type Tracker struct {
+	publish func(*peerpb.Event)
+	// used tells whether the table may hold anything, so that the usual request takes no lock.
+	used atomic.Bool
+
+	mu     sync.Mutex
+	table  *quarantine.Table
+	deaths map[upstreamKey]death
+}
+
+type upstreamKey struct {
+	service, upstream string
+}
+
+type death struct {
+	id uint64
+	at time.Time
+}
+
+// New returns a tracker that tells peers by publish.
+func New(publish func(*peerpb.Event)) *Tracker {
+	return &Tracker{publish: publish, table: quarantine.New(tableLimit), deaths: make(map[upstreamKey]death)}
+}
+
+// Level tells whether the request is clear, suspected or quarantined.
+func (t *Tracker) Level(fingerprint uint64, now time.Time) quarantine.Level {
+	if !t.used.Load() {
+		return quarantine.Clear
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.table.Level(fingerprint, now)
+}
+
+// Died records that the upstream died with the request in progress, and tells the peers.
+func (t *Tracker) Died(fingerprint uint64, service, upstream string, now time.Time) {
+	t.mu.Lock()
+	id := t.deathOf(upstreamKey{service, upstream}, now)
+	added := t.table.Add(fingerprint, id, now, now)
+	t.used.Store(true)
+	t.mu.Unlock()
+	if added {
+		t.publish(&peerpb.Event{Kind: &peerpb.Event_Suspect{Suspect: &peerpb.SuspectEvent{Fingerprint: fingerprint, Death: id}}})
+	}
+}
+
+// deathOf returns the identifier of the upstream's present death; the caller holds the lock.
+func (t *Tracker) deathOf(k upstreamKey, now time.Time) uint64 {
+	if d, ok := t.deaths[k]; ok && now.Sub(d.at) < sameDeath {
+		return d.id
+	}
+	if len(t.deaths) >= maxDeaths {
+		clear(t.deaths)
+	}
+	d := death{id: rand.Uint64(), at: now}
+	t.deaths[k] = d
+	return d.id
+}
+
+// Take records the death of an upstream that a peer reported.
+func (t *Tracker) Take(e *peerpb.SuspectEvent) {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.table.Add(e.GetFingerprint(), e.GetDeath(), now.Add(-time.Duration(e.GetAgeMs())*time.Millisecond), now)
+	t.used.Store(true)
+}
+
+// Answered clears a suspected request that an upstream has answered: it does not crash the upstreams that run it. A
+// quarantined one stays so.
+func (t *Tracker) Answered(fingerprint uint64, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.table.Level(fingerprint, now) == quarantine.Suspect {
+		t.table.Remove(fingerprint)
+	}
+}
