--- /dev/null
+++ b/group/health_test.go
@@ -0,0 +1,52 @@
+package group_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fulmarhitch/fulmarhitch/group"
+	"github.com/fulmarhitch/fulmarhitch/upstream"
+)
+
+// observation is one step of a table.
+type observation struct {
+	after  time.Duration
+	state  upstream.State
+	source group.Source
+	// news tells whether the step has to be told to the peers.
+	news bool
+}
+
+// TestObserve guards against a leaving upstream that gets work again because an endpoint or an old answer claims that it
+// is ready, and against one that never returns.
+func TestObserve(t *testing.T) {
+	const ms = time.Millisecond
+	for name, steps := range map[string][]observation{
+		"ready is no news":                  {{0, upstream.Ready, group.Probe, false}},
+		"drain is news once":                {{0, upstream.Draining, group.Exchange, true}, {ms, upstream.Draining, group.Probe, false}},
+		"early claim does not end a drain":  {{0, upstream.Draining, group.Exchange, true}, {ms, upstream.Ready, group.Probe, false}},
+		"late answer does not end a drain":  {{0, upstream.Draining, group.Probe, true}, {2 * time.Minute, upstream.Ready, group.Exchange, false}},
+		"lasting claim ends a drain":        {{0, upstream.Draining, group.Probe, true}, {2 * time.Minute, upstream.Ready, group.Probe, true}},
+		"restart ends a drain":              {{0, upstream.Draining, group.Probe, true}, {ms, upstream.Failing, group.Probe, false}, {ms, upstream.Cold, group.Probe, true}},
+		"peer's word ends a drain":          {{0, upstream.Draining, group.Probe, true}, {ms, upstream.Ready, group.Peer, true}},
+		"an unreachable one is news":        {{0, upstream.Failing, group.Probe, true}, {ms, upstream.Ready, group.Probe, true}},
+		"an unstated state changes nothing": {{0, upstream.Failing, group.Probe, true}, {ms, upstream.Unstated, group.Probe, false}, {ms, upstream.Failing, group.Probe, false}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				Convey(name, t, func() {
+					r := group.New(1)
+					defer func() { _ = r.Stop(context.Background()) }()
+					for _, step := range steps {
+						time.Sleep(step.after)
+						So(r.Observe("s", "u", step.state, step.source, time.Now()), ShouldEqual, step.news)
+					}
+				})
+			})
+		})
+	}
+}
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -71,14 +71,16 @@
 func sortGroups(groups []*Group, failureDomain, region string) {
 	distance := func(g *Group) int {
 		switch {
-		case g.Home:
+		case g.Home && g.FailureDomain == failureDomain:
 			return 0
-		case g.FailureDomain == failureDomain:
+		case g.Home:
 			return 1
-		case g.Region == region:
+		case g.FailureDomain == failureDomain:
 			return 2
-		default:
+		case g.Region == region:
 			return 3
+		default:
+			return 4
 		}
 	}
 	// The sort is stable, so that ties keep the order of the identifiers.
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -22,6 +22,10 @@
 // later; the comparison costs a few microseconds.
 const checkInterval = 100 * time.Millisecond
 
+// repeatInterval is how often the peers' generations are compared with the highest one seen here. A change has to be in
+// force within 5 s, so that a failed pull must be tried again soon.
+const repeatInterval = time.Second
+
 // Config holds what a Planner works with.
 type Config struct {
 	Self    member.Member
@@ -46,8 +50,8 @@
 
 	generation uint64
 	members    []member.Member
-	// announced is the highest generation that was handed on.
-	announced uint64
+	// repeated is when the peers' generations were last compared.
+	repeated time.Time
 }
 
 // New returns a planner that has not started.
@@ -81,7 +85,8 @@
 		case <-ctx.Done():
 			return
 		case <-changed:
-		case <-ticker.C:
+		case now := <-ticker.C:
+			p.repeatAnnouncement(now)
 		case e := <-events:
 			p.take(e, time.Now())
 		}
@@ -135,10 +140,27 @@
 		p.config.Suspect(k.Suspect)
 	case *peerpb.Event_Generation:
 		p.config.Metrics.Event("generation")
+		p.announce(k.Generation.GetGeneration())
+	}
+}
+
+// announce hands a generation above the highest one seen to the reader.
+func (p *Planner) announce(n uint64) {
+	if n > p.config.Holder.Highest() {
 		// A full ring means that the reader pulls already; it then pulls the latest.
-		if n := k.Generation.GetGeneration(); n > p.announced && p.config.Announced.Offer(n) {
-			p.announced = n
-		}
+		p.config.Announced.Offer(n)
+	}
+}
+
+// repeatAnnouncement announces the highest generation of the peers again. A pull may have failed, and an event is new
+// only once.
+func (p *Planner) repeatAnnouncement(now time.Time) {
+	if now.Sub(p.repeated) < repeatInterval {
+		return
+	}
+	p.repeated = now
+	for _, n := range p.config.Gossip.Generations() {
+		p.announce(n)
 	}
 }
 
