--- a/front/call.go
+++ b/front/call.go
@@ -120,31 +120,43 @@
 	return nil
 }
 
-// readBody reads the whole body within the limit.
+// readBody reads the whole body within the limit and the deadline. A caller that sends its body slowly must not hold
+// memory for longer; after a fault the deadline stays, because the server then reads the rest of the body away.
 func readBody(r *request.Request, w http.ResponseWriter, req *http.Request, limit int) *outcome.NotRun {
+	if req.ContentLength == 0 {
+		return nil
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(r.Deadline)
 	if req.ContentLength > int64(limit) {
 		return tooLarge(limit)
 	}
-	if req.ContentLength == 0 {
-		return nil
+	body, refusal := readAll(w, req, limit)
+	if refusal != nil {
+		return refusal
 	}
+	r.Body = body
+	_ = control.SetReadDeadline(time.Time{})
+	return nil
+}
+
+func readAll(w http.ResponseWriter, req *http.Request, limit int) ([]byte, *outcome.NotRun) {
 	if req.ContentLength > 0 {
-		r.Body = make([]byte, req.ContentLength)
-		if _, err := io.ReadFull(req.Body, r.Body); err != nil {
-			return badRequest("body: ended early: " + err.Error())
+		body := make([]byte, req.ContentLength)
+		if _, err := io.ReadFull(req.Body, body); err != nil {
+			return nil, badRequest("body: ended early: " + err.Error())
 		}
-		return nil
+		return body, nil
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, int64(limit)))
 	if err != nil {
 		var large *http.MaxBytesError
 		if errors.As(err, &large) {
-			return tooLarge(limit)
+			return nil, tooLarge(limit)
 		}
-		return badRequest("body: " + err.Error())
+		return nil, badRequest("body: " + err.Error())
 	}
-	r.Body = body
-	return nil
+	return body, nil
 }
 
 func badRequest(detail string) *outcome.NotRun {
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -145,13 +145,23 @@
 	if o, ok := res.Outcome.(outcome.NotRun); ok {
 		a.last = o.Reason
 	}
-	if a.attempts >= maxAttempts || a.last == outcome.DeadlineUnreachable || a.last == outcome.Cancelled {
+	if a.attempts >= maxAttempts || !worthRetry(a.last) {
 		return a.refuse(a.last)
 	}
 	a.retry(name)
 	return nil
 }
 
+// worthRetry tells whether another upstream could run a request that did not run for the reason.
+func worthRetry(reason outcome.Reason) bool {
+	switch reason {
+	case outcome.DeadlineUnreachable, outcome.Cancelled, outcome.BadRequest:
+		return false
+	default:
+		return true
+	}
+}
+
 // retryLost decides about a request that may have run, which is retried only if it is idempotent.
 func (a *run) retryLost(name string, res exchange.Result) outcome.Outcome {
 	if a.request.Idempotent && a.attempts < maxAttempts && res.Class != exchange.TimedOut && res.Class != exchange.Cancelled {
@@ -223,6 +233,10 @@
 	case exchange.Refused:
 		return upstream.Refused
 	case exchange.Unsent:
+		if o, ok := res.Outcome.(outcome.NotRun); ok && o.Reason != outcome.Unreachable {
+			// The request was at fault or late; the upstream was not asked.
+			return upstream.Cancelled
+		}
 		return upstream.Unsent
 	case exchange.Died:
 		return upstream.Died
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -68,6 +68,7 @@
 	answered = exchange.Result{Class: exchange.Answered, Outcome: outcome.Answered{Status: 200}}
 	refused  = exchange.Result{Class: exchange.Refused, Outcome: outcome.NotRun{Reason: outcome.Refused}}
 	unsent   = exchange.Result{Class: exchange.Unsent, Outcome: outcome.NotRun{Reason: outcome.Unreachable}}
+	late     = exchange.Result{Class: exchange.Unsent, Outcome: outcome.NotRun{Reason: outcome.DeadlineUnreachable}}
 	lost     = exchange.Result{Class: exchange.Lost, Outcome: outcome.Unknown{Reason: outcome.ConnectionLost}}
 	died     = exchange.Result{Class: exchange.Died, Outcome: outcome.Unknown{Reason: outcome.ConnectionLost}}
 	timedOut = exchange.Result{Class: exchange.TimedOut, Outcome: outcome.Unknown{Reason: outcome.Timeout}}
@@ -164,6 +165,7 @@
 		"act refused, then answered":   {"act", []exchange.Result{refused, answered}, answered.Outcome, 2},
 		"act refused twice":            {"act", []exchange.Result{refused, refused}, outcome.NotRun{Reason: outcome.Refused}, 2},
 		"act unsent, then answered":    {"act", []exchange.Result{unsent, answered}, answered.Outcome, 2},
+		"act late, not retried":        {"act", []exchange.Result{late, answered}, late.Outcome, 1},
 		"act lost":                     {"act", []exchange.Result{lost, answered}, lost.Outcome, 1},
 		"act died":                     {"act", []exchange.Result{died, answered}, died.Outcome, 1},
 		"act truncated":                {"act", []exchange.Result{cut, answered}, cut.Outcome, 1},
