Close connections to peers that left the membership

Ruled out: an idle timeout of the pools, which keep-alive pings hold open. Change: the planner reports the addresses that no live member has. Measured: not measured; the tests of planner and entry pass.

--- a/entry/duty.go
+++ b/entry/duty.go
@@ -30,7 +30,7 @@
 	e.kernel.Register("reader", e.reader)
 	e.kernel.Register("planner", planner.New(planner.Config{
 		Self: e.self, Holder: e.holder, Gossip: e.gossip, Groups: e.groups, Metrics: e.metrics,
-		Apply: e.router.SetPlan, Suspect: e.suspects.Take, Announced: announced, Log: e.log,
+		Gone: e.peers.Forget, Apply: e.router.SetPlan, Suspect: e.suspects.Take, Announced: announced, Log: e.log,
 	}))
 	e.kernel.Register("prober", e.newProber())
 	e.kernel.Register("housekeeping", newDuty(e.keepHouse))
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -33,6 +33,8 @@
 	Gossip  *gossip.Gossip
 	Groups  *group.Registry
 	Metrics *metric.Metrics
+	// Gone takes the peer addresses of VMs that left the membership, so that their connections are closed.
+	Gone func(peerAddress string)
 	// Apply takes each new plan.
 	Apply func(*plan.Plan)
 	// Suspect takes the death of an upstream that a peer reported.
@@ -110,9 +112,23 @@
 	if current.Envelope.Generation != p.generation {
 		p.inForce(current, next)
 	}
+	p.forget(live)
 	p.generation, p.members = current.Envelope.Generation, live
 }
 
+// forget reports the addresses of the last members that no live one has.
+func (p *Planner) forget(live []member.Member) {
+	used := make(map[string]struct{}, len(live))
+	for _, m := range live {
+		used[m.PeerAddress] = struct{}{}
+	}
+	for _, m := range p.members {
+		if _, ok := used[m.PeerAddress]; !ok {
+			p.config.Gone(m.PeerAddress)
+		}
+	}
+}
+
 // inForce tells everybody that a generation has come into force here.
 func (p *Planner) inForce(current *generation.Current, next *plan.Plan) {
 	var groups []string
