Measure the time that an entry VM adds to a call

A trial by hand isn't repeatable and says nothing of the cost in the entry process. cmd/measure-added starts the processes, sends half of the calls straight to the upstream in the same run and prints latencies, differences, processor time, allocations and bytes per call.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: test format lint unit race demo generate build measure
+.PHONY: test format lint unit race demo generate build measure measure-added
 
 # The Go files that gofmt checks; generated code is included because the generators format it.
 GO_FILES := $(shell git ls-files -co --exclude-standard '*.go')
@@ -27,6 +27,9 @@
 measure: build
 	./bin/measure
 
+measure-added: build
+	./bin/measure-added --repeat 3
+
 # Needs buf, protoc-gen-go and protoc-gen-connect-go on the PATH; the generated code is committed.
 generate:
 	cd proto && buf generate
--- a/cmd/fulmarhitch/run.go
+++ b/cmd/fulmarhitch/run.go
@@ -8,6 +8,7 @@
 
 type runCommand struct {
 	Settings string `help:"Settings file." required:"" type:"path"`
+	Profile  string `help:"File for a processor profile of the whole run; the allocations go to the file with .allocs added." type:"path"`
 }
 
 // Run runs the process of an entry VM until it is told to stop.
@@ -20,5 +21,12 @@
 	if err != nil {
 		return fail(refused, err)
 	}
-	return runEntry(s)
+	if c.Profile == "" {
+		return runEntry(s)
+	}
+	end, err := profile(c.Profile)
+	if err != nil {
+		return err
+	}
+	return errors.CombineErrors(runEntry(s), end())
 }
--- /dev/null
+++ b/cmd/measure-added/fleet.go
@@ -0,0 +1,138 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	serviceName = "lookups"
+	kindName    = "lookup"
+	// slots exceeds the calls in progress, so that none waits.
+	slots = 256
+	// addressLifetime is short because a stopping entry VM serves on for that long.
+	addressLifetime = "1s"
+	stopTimeout     = 10 * time.Second
+)
+
+// fleet is the processes of the measurement.
+type fleet struct {
+	platform, upstream, entry *process
+}
+
+// newFleet starts the processes and brings the configuration into force. The fleet has to be stopped after an error too.
+func newFleet(bin, folder, profile string) (*fleet, error) {
+	f := new(fleet)
+	var err error
+	if f.platform, err = start(bin, folder, "platform", "standin-platform"); err != nil {
+		return f, err
+	}
+	f.upstream, err = start(bin, folder, "upstream", "standin-upstream", "--mean", "0s", "--slots", fmt.Sprint(slots),
+		"--waiting", fmt.Sprint(slots), "--connection-cost", "0s", "--probe-cost", "0s")
+	if err != nil {
+		return f, err
+	}
+	if err = f.startEntry(bin, folder, profile); err != nil {
+		return f, err
+	}
+	return f, f.submit()
+}
+
+func (f *fleet) startEntry(bin, folder, profile string) error {
+	file := filepath.Join(folder, "entry.toml")
+	var ports [2]string
+	for i := range ports {
+		var err error
+		if ports[i], err = freeAddress(); err != nil {
+			return err
+		}
+	}
+	text := fmt.Sprintf("name = \"entry\"\nfailure-domain = \"fd\"\naddress = %q\npeer-address = %q\nstore-address = %q\n"+
+		"vm-list-address = %q\nstop-timeout = \"5s\"\nlog-level = \"info\"\n", ports[0], ports[1], f.platform.address, f.platform.address)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		return errors.Wrap(err, "measure-added")
+	}
+	arguments := []string{"run", "--settings", file}
+	if profile != "" {
+		arguments = append(arguments, "--profile", profile)
+	}
+	var err error
+	f.entry, err = start(bin, folder, "entry", "fulmarhitch", arguments...)
+	return err
+}
+
+// freeAddress returns an address with a port that is free now.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "measure-added")
+	}
+	return l.Addr().String(), l.Close()
+}
+
+// submit brings the configuration into force and waits until the entry VM serves it.
+func (f *fleet) submit() error {
+	text := fmt.Sprintf("max-entry-vms = 1\naddress-lifetime = %q\ntenants = [\"division\"]\n\n[[failure-domain]]\nname = \"fd\"\n"+
+		"region = \"r\"\n\n[[service]]\nname = %q\ntenant = \"division\"\nconnections = %d\n\n[[service.kind]]\nname = %q\n"+
+		"class = \"short\"\nidempotent = true\nweight = 10\ntimeout = \"1s\"\n\n[[service.upstream]]\nname = \"lookups-1\"\n"+
+		"address = %q\nfailure-domain = \"fd\"\nslots = %d\n", addressLifetime, serviceName, slots, kindName, f.upstream.address, slots)
+	var err error
+	for range 40 {
+		if err = f.post(text); err == nil {
+			break
+		}
+		time.Sleep(250 * time.Millisecond)
+	}
+	for range 40 {
+		if _, err := f.get("/v1/addresses?service=" + serviceName); err == nil {
+			return nil
+		}
+		time.Sleep(250 * time.Millisecond)
+	}
+	return errors.CombineErrors(err, errors.New("measure-added: the entry VM isn't ready"))
+}
+
+func (f *fleet) post(text string) error {
+	url := "http://" + f.entry.address + "/v1/configuration?base=0&submission=added-1"
+	res, err := http.Post(url, "text/plain", bytes.NewReader([]byte(text)))
+	if err != nil {
+		return errors.Wrap(err, "measure-added")
+	}
+	_, err = read(res)
+	return err
+}
+
+func (f *fleet) get(path string) ([]byte, error) {
+	res, err := http.Get("http://" + f.entry.address + path)
+	if err != nil {
+		return nil, errors.Wrap(err, "measure-added")
+	}
+	return read(res)
+}
+
+// read returns the body of a successful answer.
+func read(res *http.Response) ([]byte, error) {
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(res.Body, 8<<20))
+	if err == nil && res.StatusCode != http.StatusOK {
+		err = errors.Newf("status %d: %s", res.StatusCode, body)
+	}
+	return body, errors.Wrap(err, "measure-added")
+}
+
+// stop ends the processes; the entry VM writes its profiles when it is asked to stop.
+func (f *fleet) stop() {
+	for _, p := range []*process{f.entry, f.upstream, f.platform} {
+		if p != nil {
+			p.stop(stopTimeout)
+		}
+	}
+}
