front: serve calls before the frame's router

Each call ran through the router of the HTTP frame, which matches patterns, copies the request for its variables, adds contexts and redirects unclean paths with 301 and no outcome. A filter of the frame's server now takes the call prefix first. Since the router no longer cleans paths, calls with a segment "." or ".." are refused as not run; they could reach another kind at an upstream.

--- a/front/call.go
+++ b/front/call.go
@@ -21,6 +21,30 @@
 	maxIDLength = 128
 )
 
+// mountCalls serves calls before the router of the frame, which would match patterns and copy the request for each.
+func (s *Server) mountCalls(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if strings.HasPrefix(req.URL.Path, callPrefix) {
+			s.call(w, req)
+			return
+		}
+		next.ServeHTTP(w, req)
+	})
+}
+
+// hasDotSegment tells whether the path has a segment "." or "..", with which it could reach another kind at an upstream.
+func hasDotSegment(path string) bool {
+	if !strings.Contains(path, "/.") {
+		return false
+	}
+	for segment := range strings.SplitSeq(path, "/") {
+		if segment == "." || segment == ".." {
+			return true
+		}
+	}
+	return false
+}
+
 // call serves one caller's request.
 func (s *Server) call(w http.ResponseWriter, req *http.Request) {
 	s.running.Add(1)
@@ -62,6 +86,9 @@
 
 // target finds the service and kind that the path names; the rest of the path goes to the upstream.
 func target(d *declaration.Declaration, req *http.Request) (*declaration.Service, *declaration.Kind, string, *outcome.NotRun) {
+	if hasDotSegment(req.URL.Path) {
+		return nil, nil, "", badRequest("path: has a segment \".\" or \"..\"")
+	}
 	parts := strings.SplitN(strings.TrimPrefix(req.URL.EscapedPath(), callPrefix), "/", 3)
 	service := d.Service(parts[0])
 	if service == nil {
--- a/front/server.go
+++ b/front/server.go
@@ -64,11 +64,10 @@
 	s := &Server{config: c, failed: make(chan error, 1)}
 	// The timeout is 0 because each request carries its own deadline.
 	s.http = khttp.NewServer(khttp.Listener(c.Listener), khttp.Timeout(0), khttp.NotFoundHandler(http.NotFoundHandler()),
-		khttp.MethodNotAllowedHandler(http.NotFoundHandler()))
+		khttp.MethodNotAllowedHandler(http.NotFoundHandler()), khttp.Filter(s.mountCalls))
 	s.http.MaxHeaderBytes = maxHeaderBytes
 	s.http.ReadHeaderTimeout = readHeaderTimeout
 	s.http.IdleTimeout = idleTimeout
-	s.http.HandlePrefix(callPrefix, http.HandlerFunc(s.call))
 	s.http.HandleFunc("/v1/addresses", s.addresses)
 	s.http.HandleFunc("/v1/configuration", s.configuration)
 	s.http.HandleFunc("/v1/check", s.check)
