home, steer: rank members without copying them

Address answers took ranks and hashes in each comparison of a sort of all members, even if the homes had filled the answer. Members are now ranked by index, once each. The hashes and so the homes are the same.

--- a/home/home.go
+++ b/home/home.go
@@ -75,35 +75,35 @@
 // Order returns the usable VMs of live in the order in which they are the group's home. Candidates are those of the
 // group's failure domain; without any, those of its region; without any, all.
 func Order(g Group, d *declaration.Declaration, live []member.Member) []member.Member {
-	var usable []member.Member
-	for _, m := range live {
-		if m.Usable() {
-			usable = append(usable, m)
+	near := func(accept func(domain string) bool) []int {
+		var indices []int
+		for i := range live {
+			if live[i].Usable() && accept(live[i].FailureDomain) {
+				indices = append(indices, i)
+			}
 		}
-	}
-	near := func(accept func(domain string) bool) []member.Member {
-		return slices.DeleteFunc(slices.Clone(usable), func(m member.Member) bool { return !accept(m.FailureDomain) })
+		return indices
 	}
 	candidates := near(func(domain string) bool { return domain == g.FailureDomain })
 	if len(candidates) == 0 {
 		candidates = near(func(domain string) bool { return Region(d, domain) == g.Region })
 	}
 	if len(candidates) == 0 {
-		candidates = usable
+		candidates = near(func(string) bool { return true })
 	}
-	return rendezvous(g.ID, candidates)
+	return rendezvous(g.ID, live, candidates)
 }
 
 // Readers returns the names of the two VMs of the failure domain that read the store and the VM list, or fewer if
 // the failure domain has fewer usable VMs.
 func Readers(domain string, live []member.Member) []string {
-	var candidates []member.Member
-	for _, m := range live {
+	var candidates []int
+	for i, m := range live {
 		if m.Usable() && m.FailureDomain == domain {
-			candidates = append(candidates, m)
+			candidates = append(candidates, i)
 		}
 	}
-	ordered := rendezvous("readers/"+domain, candidates)
+	ordered := rendezvous("readers/"+domain, live, candidates)
 	names := make([]string, 0, 2)
 	for _, m := range ordered[:min(2, len(ordered))] {
 		names = append(names, m.Name)
@@ -121,26 +121,31 @@
 	return ""
 }
 
-// rendezvous orders the members by the hash of key and name, highest first. The hash of a pair does not depend on
-// the other members, so a VM that comes or goes moves only the keys that it wins or held.
-func rendezvous(key string, members []member.Member) []member.Member {
+// rendezvous returns the members with the indices, ordered by the hash of key and name, highest first. The hash of a pair
+// does not depend on the other members, so a VM that comes or goes moves only the keys that it wins or held.
+func rendezvous(key string, members []member.Member, indices []int) []member.Member {
 	type scored struct {
-		member.Member
+		index int
 		score uint64
 	}
-	all := make([]scored, len(members))
-	for i, m := range members {
-		all[i] = scored{m, xxhash.Sum64String(key + "\x00" + m.Name)}
+	all := make([]scored, len(indices))
+	var h xxhash.Digest
+	for i, index := range indices {
+		h.Reset()
+		_, _ = h.WriteString(key)
+		_, _ = h.WriteString("\x00")
+		_, _ = h.WriteString(members[index].Name)
+		all[i] = scored{index, h.Sum64()}
 	}
 	slices.SortFunc(all, func(a, b scored) int {
 		if c := cmp.Compare(b.score, a.score); c != 0 {
 			return c
 		}
-		return strings.Compare(a.Name, b.Name)
+		return strings.Compare(members[a.index].Name, members[b.index].Name)
 	})
 	ordered := make([]member.Member, len(all))
 	for i, s := range all {
-		ordered[i] = s.Member
+		ordered[i] = members[s.index]
 	}
 	return ordered
 }
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -71,8 +71,10 @@
 	for _, m := range homes(d, s, live, c) {
 		add(m)
 	}
-	for _, m := range fallbacks(live, list, c) {
-		add(m)
+	if len(list) < maxAddresses {
+		for _, m := range fallbacks(live, list, c) {
+			add(m)
+		}
 	}
 	if len(list) == 0 {
 		return Addresses{}, errors.Wrapf(ErrNoVM, "for service %q", service)
@@ -142,24 +144,36 @@
 // that the loss of one failure domain leaves the caller an address, then usable ones, then leaving ones if the list
 // would be empty otherwise.
 func fallbacks(live []member.Member, list []Address, c Caller) []member.Member {
-	rank := func(m member.Member) int {
+	type ranked struct {
+		index, rank int
+		score       float64
+	}
+	// The ranks are taken once for each VM, because comparisons are many more.
+	var all []ranked
+	for i := range live {
+		m := &live[i]
+		rank := 0
 		switch {
 		case !m.Usable():
-			return 2
+			rank = 2
 		case slices.ContainsFunc(list, func(a Address) bool { return a.FailureDomain == m.FailureDomain }):
-			return 1
+			rank = 1
 		}
-		return 0
+		all = append(all, ranked{i, rank, uniform(c.Token, m.Name)})
 	}
-	usable := slices.DeleteFunc(slices.Clone(live), func(m member.Member) bool { return !m.Usable() })
-	if len(usable) == 0 && len(list) == 0 {
-		usable = slices.Clone(live)
+	usable := func(r ranked) bool { return r.rank < 2 }
+	if len(list) > 0 || slices.ContainsFunc(all, usable) {
+		all = slices.DeleteFunc(all, func(r ranked) bool { return !usable(r) })
 	}
-	slices.SortStableFunc(usable, func(a, b member.Member) int {
-		if n := cmp.Compare(rank(a), rank(b)); n != 0 {
+	slices.SortStableFunc(all, func(a, b ranked) int {
+		if n := cmp.Compare(a.rank, b.rank); n != 0 {
 			return n
 		}
-		return cmp.Compare(uniform(c.Token, a.Name), uniform(c.Token, b.Name))
+		return cmp.Compare(a.score, b.score)
 	})
-	return usable
+	ordered := make([]member.Member, len(all))
+	for i, r := range all {
+		ordered[i] = live[r.index]
+	}
+	return ordered
 }
