dispatch: make the rings smaller

A dispatcher held 248 kB, most of it in a ring of 1,024 releases by value. A VM that has to serve the 1,200 groups of 3,000 upstreams alone would have needed 297 MB. Rings hold 128 pointers now; callers block when one is full, as before, and the dispatcher never waits for a caller.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -15,8 +15,9 @@
 	"github.com/fulmarhitch/fulmarhitch/upstream"
 )
 
-// ringSize bounds the events that wait for a dispatcher. Callers block when a ring is full.
-const ringSize = 1024
+// ringSize bounds the events that wait for a dispatcher. Callers block when a ring is full. An entry VM may have to run
+// the dispatchers of more than 1,000 groups, so the rings are small and hold pointers.
+const ringSize = 128
 
 // Options are the settings of a Dispatcher; the zero value is usable.
 type Options struct {
@@ -32,7 +33,7 @@
 	core     *Core
 	ready    bool
 	arrivals *ring.Ring[*Waiter]
-	releases *ring.Ring[release]
+	releases *ring.Ring[*release]
 	controls *ring.Ring[func(now time.Time)]
 	done     chan struct{}
 	// load holds the free slots in the high and the waiting requests in the low 32 bits.
@@ -62,7 +63,7 @@
 	d := &Dispatcher{
 		group:    group,
 		arrivals: ring.New[*Waiter](ringSize),
-		releases: ring.New[release](ringSize),
+		releases: ring.New[*release](ringSize),
 		controls: ring.New[func(time.Time)](ringSize),
 		done:     make(chan struct{}),
 	}
@@ -151,7 +152,7 @@
 
 // Release gives back the slot of a Bound.
 func (d *Dispatcher) Release(b Bound, res Result) {
-	d.releases.Put(d.done, release{bound: b, result: res})
+	d.releases.Put(d.done, &release{bound: b, result: res})
 }
 
 // Return ends a spill; refused tells that the other home had no free slot and ran nothing. It has to be called before
