exchange: send and receive in the caller's goroutine

The HTTP library's transport hands each request to two goroutines of the connection, with a wake-up each way, and its contexts and channels were a third of the allocations of a call. The exchanger now keeps the connections itself and uses http.Request.Write and http.ReadResponse on them. What the transport did is kept: header and method checks, informational answers, the limit on headers, idle timeout, and a look whether the upstream closed an idle connection before it is used. Bodies above 16 KiB are written beside the read, so that an early answer is seen. Nothing can replay a request any more. An interrupted, sealed or partly read connection is never used again.

All earlier tests stay. TestBrokenIdle without the look at the connection: 'Expected: answered, Actual: lost' and 'Actual: timeout'.

--- a/exchange/attempt.go
+++ b/exchange/attempt.go
@@ -3,84 +3,120 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 
 	"github.com/fulmarhitch/fulmarhitch/outcome"
 	"github.com/fulmarhitch/fulmarhitch/request"
 )
 
+const (
+	// maxAtOnce bounds the bodies that are written before the answer is read. It is below the sizes of socket buffers, so
+	// that an upstream that answers without reading the body doesn't block the write.
+	maxAtOnce = 16 << 10
+	// maxInterim bounds the informational answers before the final one.
+	maxInterim = 5
+)
+
+var errInterim = errors.New("too many informational answers")
+
 // attempt sends a request over one connection.
 type attempt struct {
-	link      *link
-	transport *http.Transport
-	request   *request.Request
-	address   string
-	limit     int
-	echo      bool
-	cancel    context.CancelFunc
-
-	trace    httptrace.ClientTrace
-	conn     *conn
-	reused   bool
-	replayed bool
-}
+	link    *link
+	request *request.Request
+	address string
+	limit   int
+	echo    bool
 
-// body is a reader without a way back to its beginning, which the HTTP transport therefore can't replay.
-type body struct {
-	bytes.Reader
+	conn   *conn
+	reused bool
 }
 
-// Close does nothing.
-func (b *body) Close() error { return nil }
-
 // run sends the request; stale tells that it met a broken idle connection and that no byte was written.
 func (a *attempt) run(ctx context.Context) (res Result, stale bool) {
 	a.conn, a.reused = nil, false
-	a.trace.GotConn = a.gotConn
-	resp, err := a.transport.RoundTrip(a.http(httptrace.WithClientTrace(ctx, &a.trace)))
+	h, err := a.http()
+	if err != nil {
+		return unsent(outcome.BadRequest, err.Error()), false
+	}
+	if a.conn, a.reused, err = a.link.get(ctx, a.address); err != nil {
+		return a.failed(ctx, err)
+	}
+	a.conn.arm(a.request.Deadline)
+	// The end of ctx interrupts reads and writes in progress. The connection isn't used again after that.
+	c := a.conn
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	resp, written, err := a.exchange(h)
 	if err != nil {
+		stop()
 		return a.failed(ctx, err)
 	}
-	return a.answered(ctx, resp), false
+	res = a.answered(ctx, resp)
+	if stop() && written() && !resp.Close && c.in.Buffered() == 0 && !c.isSealed() {
+		a.link.put(c)
+	} else {
+		_ = c.Close()
+	}
+	return res, false
+}
+
+// exchange writes the request and reads the headers of its answer; written tells whether the whole request was written.
+func (a *attempt) exchange(h *http.Request) (resp *http.Response, written func() bool, err error) {
+	if len(a.request.Body) <= maxAtOnce {
+		if err := a.conn.send(h); err != nil {
+			return nil, nil, err
+		}
+		resp, err = a.conn.receive(h)
+		return resp, func() bool { return true }, err
+	}
+	sent := make(chan error, 1)
+	c := a.conn
+	go func() { sent <- c.send(h) }()
+	resp, err = c.receive(h)
+	return resp, func() bool {
+		select {
+		case err := <-sent:
+			return err == nil
+		default:
+			return false
+		}
+	}, err
 }
 
-// http returns the request as the transport takes it, with the path as it came.
-func (a *attempt) http(ctx context.Context) *http.Request {
+// http returns the request as the HTTP library takes it, with the path as it came, or an error if a part of it can't be
+// sent.
+func (a *attempt) http() (*http.Request, error) {
 	r := a.request
-	h := http.Request{
+	h := &http.Request{
 		Method: r.Method, Host: a.address, ContentLength: int64(len(r.Body)), Header: forward(r, time.Now()),
 		URL: &url.URL{Scheme: "http", Host: a.address, Opaque: target(r)},
 	}
+	if !httpguts.ValidHeaderFieldName(r.Method) {
+		return nil, errors.Newf("method %q is invalid", r.Method)
+	}
+	for name, values := range h.Header {
+		if !httpguts.ValidHeaderFieldName(name) || !isValid(values) {
+			return nil, errors.Newf("header %q is invalid", name)
+		}
+	}
 	if len(r.Body) > 0 {
-		b := new(body)
-		b.Reset(r.Body)
-		h.Body = b
+		h.Body = io.NopCloser(bytes.NewReader(r.Body))
 	}
-	return h.WithContext(ctx)
+	return h, nil
 }
 
-// gotConn takes the connection that the transport chose. If the transport chooses another one after bytes were written,
-// it is about to replay the request, which is stopped before the first byte.
-func (a *attempt) gotConn(info httptrace.GotConnInfo) {
-	c, ok := info.Conn.(*conn)
-	if !ok {
-		a.cancel()
-		return
-	}
-	if a.conn != nil && a.conn.sent() {
-		a.replayed = true
-		c.arm(time.Time{})
-		c.seal()
-		a.cancel()
-		return
+func isValid(values []string) bool {
+	for _, v := range values {
+		if !httpguts.ValidHeaderFieldValue(v) {
+			return false
+		}
 	}
-	c.arm(a.request.Deadline)
-	a.conn, a.reused = c, info.Reused
+	return true
 }
 
 // failed tells what became of a request that got no answer.
@@ -88,14 +124,11 @@
 	if a.conn != nil && a.conn.seal() {
 		return a.lost(ctx, outcome.ConnectionLost, Lost, err), false
 	}
-	var dial *dialError
 	switch {
 	case expired(ctx, a.request):
 		return unsent(outcome.DeadlineUnreachable, "deadline passed before a connection was free"), false
 	case ctx.Err() != nil:
 		return unsent(outcome.Cancelled, "cancelled before sending"), false
-	case a.conn == nil && !errors.As(err, &dial):
-		return unsent(outcome.BadRequest, err.Error()), false
 	default:
 		return unsent(outcome.Unreachable, err.Error()), a.reused
 	}
@@ -106,7 +139,7 @@
 	switch {
 	case expired(ctx, a.request):
 		return unknown(TimedOut, outcome.Timeout, "no answer by the deadline")
-	case ctx.Err() != nil && !a.replayed:
+	case ctx.Err() != nil:
 		return unknown(Cancelled, outcome.Cancelled, "cancelled after sending")
 	case a.link.refuses(a.address):
 		return unknown(Died, reason, err.Error())
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -191,6 +191,85 @@
 	}
 }
 
+// TestAnswers guards against an informational answer taken as the final one, endless headers, and a large body whose
+// write hides an early answer.
+func TestAnswers(t *testing.T) {
+	hints := "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
+	cases := map[string]struct {
+		answer string
+		body   int
+		class  exchange.Class
+	}{
+		"informational":       {answer: hints + text("r", "x"), class: exchange.Answered},
+		"many informational":  {answer: strings.Repeat(hints, 50) + text("r", "x"), class: exchange.Lost},
+		"endless headers":     {answer: "HTTP/1.1 200 OK\r\n" + strings.Repeat("X: yyyyyyyyyyyyyy\r\n", 1<<16) + "\r\n", class: exchange.Lost},
+		"large body":          {answer: text("r", "x"), body: 64 << 10, class: exchange.Answered},
+		"large body not read": {answer: text("r", "x"), body: 32 << 20, class: exchange.Answered},
+	}
+	for name, c := range cases {
+		Convey(name, t, func() {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			So(err, ShouldBeNil)
+			defer l.Close()
+			done := make(chan struct{})
+			defer close(done)
+			go func() {
+				for {
+					in, err := l.Accept()
+					if err != nil {
+						return
+					}
+					_, _ = in.Read(make([]byte, 100))
+					_, _ = in.Write([]byte(c.answer))
+					go func() { <-done; _ = in.Close() }()
+				}
+			}()
+			e := exchange.New(four)
+			defer e.Close()
+			So(e.Do(context.Background(), order("r", strings.Repeat("b", c.body)), upstream(l.Addr().String()), 10).Class, ShouldEqual, c.class)
+		})
+	}
+}
+
+// TestBrokenIdle guards against a request sent on an idle connection that the upstream closed or wrote to.
+func TestBrokenIdle(t *testing.T) {
+	for name, extra := range map[string]string{"closed": "", "more than the answer": "x"} {
+		Convey(name, t, func() {
+			end := make(chan struct{})
+			ended := make(chan struct{})
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			So(err, ShouldBeNil)
+			defer l.Close()
+			go func() {
+				for n := 1; ; n++ {
+					in, err := l.Accept()
+					if err != nil {
+						return
+					}
+					_, _ = in.Read(make([]byte, 1000))
+					_, _ = in.Write([]byte(text(fmt.Sprintf("r%d", n), "x")))
+					if n == 1 {
+						<-end
+						_, _ = in.Write([]byte(extra))
+						if extra == "" {
+							_ = in.Close()
+						}
+						close(ended)
+					}
+				}
+			}()
+			e := exchange.New(four)
+			defer e.Close()
+			up := upstream(l.Addr().String())
+			So(e.Do(context.Background(), order("r1", "b"), up, 10).Class, ShouldEqual, exchange.Answered)
+			close(end)
+			<-ended
+			time.Sleep(100 * time.Millisecond)
+			So(e.Do(context.Background(), order("r2", "b"), up, 10).Class, ShouldEqual, exchange.Answered)
+		})
+	}
+}
+
 // TestStaleConnections guards against a restarted upstream that costs a request although no byte of it was written.
 func TestStaleConnections(t *testing.T) {
 	Convey("Given an upstream that restarts on its address", t, func() {
--- a/exchange/exchanger.go
+++ b/exchange/exchanger.go
@@ -83,7 +83,8 @@
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
 	l := e.link(r.Service)
-	a := attempt{link: l, transport: l.use(share), request: r, address: up.Address, limit: limit, echo: echo, cancel: cancel}
+	l.use(share)
+	a := attempt{link: l, request: r, address: up.Address, limit: limit, echo: echo}
 	for try := 1; ; try++ {
 		res, stale := a.run(ctx)
 		if !stale || try == maxTries {
