route: keep bad requests from ejecting upstreams

A request that the exchanger can't send, such as one whose path has a coded backslash and dots, counted as a failed dial: it was retried at a second upstream, held a slot there and counted towards ejection, so that a caller could eject upstreams by a few bad requests. It now counts like a cancelled one and isn't retried.

--- a/route/attempt.go
+++ b/route/attempt.go
@@ -145,7 +145,7 @@
 	if o, ok := res.Outcome.(outcome.NotRun); ok {
 		a.last = o.Reason
 	}
-	if a.attempts >= maxAttempts || a.last == outcome.DeadlineUnreachable || a.last == outcome.Cancelled {
+	if a.attempts >= maxAttempts || a.last == outcome.BadRequest || a.last == outcome.DeadlineUnreachable || a.last == outcome.Cancelled {
 		return a.refuse(a.last)
 	}
 	a.retry(name)
@@ -212,6 +212,12 @@
 	return ok && o.Reason != outcome.Quarantined
 }
 
+// isBad tells whether nothing was sent because of the request itself.
+func isBad(out outcome.Outcome) bool {
+	o, ok := out.(outcome.NotRun)
+	return ok && o.Reason == outcome.BadRequest
+}
+
 // classOf returns how the end of the exchange counts for the upstream's health.
 func classOf(res exchange.Result) upstream.Class {
 	switch res.Class {
@@ -223,6 +229,10 @@
 	case exchange.Refused:
 		return upstream.Refused
 	case exchange.Unsent:
+		if isBad(res.Outcome) {
+			// A caller could otherwise eject upstreams by bad requests.
+			return upstream.Cancelled
+		}
 		return upstream.Unsent
 	case exchange.Died:
 		return upstream.Died
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -302,3 +302,20 @@
 		})
 	}
 }
+
+// TestBadRequest guards against upstreams that are ejected because a caller sends requests that can't be sent on.
+func TestBadRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given bad requests in a row", t, func() {
+			b := newBench([]member.Member{self}, exchange.Result{Class: exchange.Unsent, Outcome: outcome.NotRun{Reason: outcome.BadRequest}})
+			defer b.stop()
+			for range 10 {
+				So(b.router.Run(context.Background(), ask("get", key.Key{})), ShouldResemble, outcome.NotRun{Reason: outcome.BadRequest})
+			}
+			time.Sleep(time.Millisecond)
+			So(b.upstreams.calls, ShouldEqual, 10)
+			// All slots of both upstreams are free.
+			So(b.groups.Loads()["s/a"][0], ShouldEqual, 4)
+		})
+	})
+}
