exchange: use the caller's deadline where it is the request's

Each exchange made a context with the deadline that its caller's context had already, with a second timer. measure-added at 1,000/s, 4 s a run, load averages 9.4 to 11.0, in turn: before 406 and 440 us of processor time, 89 and 92 allocations a call; after 410 and 381 us, 84 and 84 allocations.

--- a/exchange/exchanger.go
+++ b/exchange/exchanger.go
@@ -80,8 +80,12 @@
 	if share < 1 {
 		return unsent(outcome.NoUpstream, "no connections are allowed")
 	}
-	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
-	defer cancel()
+	// The callers' contexts usually end at the deadline already, which saves a second timer.
+	if end, ok := ctx.Deadline(); !ok || end.After(r.Deadline) {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, r.Deadline)
+		defer cancel()
+	}
 	l := e.link(r.Service)
 	l.use(share)
 	a := attempt{link: l, request: r, address: up.Address, limit: limit, echo: echo}
