--- a/slope/size_test.go
+++ b/slope/size_test.go
@@ -37,8 +37,8 @@
 		fmt.Fprintf(&b, "\n[[service]]\nname = \"service-%03d\"\ntenant = \"division\"\nconnections = 220\nprobes-per-second = 2.0\n", i)
 		fmt.Fprintf(&b, "\n[[service.kind]]\nname = \"lookup\"\nclass = \"short\"\nidempotent = true\nweight = 10\ntimeout = \"500ms\"\n")
 		for n := i; n < s.upstreams; n += s.services {
-			fmt.Fprintf(&b, "\n[[service.upstream]]\nname = \"service-%03d-%d\"\naddress = \"10.%d.%d.%d:8080\"\nfailure-domain = \"fd-%d\"\nslots = 3\n",
-				i, n, i%200, n/200, n%200, (n/s.services)*3%failureDomains)
+			fmt.Fprintf(&b, "\n[[service.upstream]]\nname = \"service-%03d-%d\"\naddress = \"127.%d.%d.%d:1\"\nfailure-domain = \"fd-%d\"\nslots = 3\n",
+				i, n, 1+i%200, n/200, 1+n%200, (n/s.services)*3%failureDomains)
 		}
 	}
 	return []byte(b.String())
