Name the protocol's headers in one place

Ruled out: dropping Content-Length with the hop-by-hop headers; it is end-to-end, and TestHeaders wants it kept. Change: package header names them and copies end-to-end headers for front and exchange. Measured: nothing is measured; the tests of exchange, caller, load, front and the stand-ins pass unchanged.

--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -10,19 +10,10 @@
 	"strings"
 	"time"
 
+	"github.com/fulmarhitch/fulmarhitch/header"
 	"github.com/fulmarhitch/fulmarhitch/outcome"
 )
 
-// Headers of the protocol between callers and entry VMs.
-const (
-	headerDeadline  = "Fulmarhitch-Deadline-Ms"
-	headerKey       = "Fulmarhitch-Key"
-	headerDepth     = "Fulmarhitch-Depth"
-	headerRequestID = "Fulmarhitch-Request-Id"
-	headerOutcome   = "Fulmarhitch-Outcome"
-	headerReason    = "Fulmarhitch-Reason"
-)
-
 // reach sends the call to the address. It returns delivered = false if no byte of it was written.
 func (c *Caller) reach(ctx context.Context, to Address, call Call) (out outcome.Outcome, delivered bool) {
 	out, delivered, stale := c.exchange(ctx, to, call)
@@ -84,19 +75,19 @@
 	c.authorize(req)
 	deadline, _ := ctx.Deadline()
 	left := max(1, time.Until(deadline).Milliseconds())
-	req.Header.Set(headerDeadline, strconv.FormatInt(left, 10))
-	req.Header.Set(headerDepth, strconv.Itoa(call.Depth))
-	req.Header.Set(headerRequestID, id)
-	req.Header.Del(headerKey)
+	req.Header.Set(header.Deadline, strconv.FormatInt(left, 10))
+	req.Header.Set(header.Depth, strconv.Itoa(call.Depth))
+	req.Header.Set(header.RequestID, id)
+	req.Header.Del(header.Key)
 	if call.Key != "" {
-		req.Header.Set(headerKey, call.Key)
+		req.Header.Set(header.Key, call.Key)
 	}
 	return req, nil
 }
 
 // read returns the outcome that a response carries.
 func (c *Caller) read(ctx context.Context, resp *http.Response, id string) outcome.Outcome {
-	if echo := resp.Header.Get(headerRequestID); echo != id {
+	if echo := resp.Header.Get(header.RequestID); echo != id {
 		return outcome.Unknown{Reason: outcome.Mismatched, Detail: "the answer names request " + strconv.Quote(echo)}
 	}
 	// Without a length, an answer that ends early looks whole.
@@ -113,8 +104,8 @@
 		}
 		return outcome.Unknown{Reason: outcome.Truncated, Detail: err.Error()}
 	}
-	reason := outcome.Reason(resp.Header.Get(headerReason))
-	switch kind := resp.Header.Get(headerOutcome); kind {
+	reason := outcome.Reason(resp.Header.Get(header.Reason))
+	switch kind := resp.Header.Get(header.Outcome); kind {
 	case "answered":
 		return outcome.Answered{Status: resp.StatusCode, Header: endToEnd(resp.Header), Body: body}
 	case "not-run":
@@ -135,7 +126,7 @@
 // endToEnd returns the headers without those of the protocol and of the connection.
 func endToEnd(h http.Header) http.Header {
 	h = h.Clone()
-	for _, name := range []string{headerRequestID, headerOutcome, headerReason, "Connection", "Keep-Alive", "Transfer-Encoding"} {
+	for _, name := range []string{header.RequestID, header.Outcome, header.Reason, "Connection", "Keep-Alive", "Transfer-Encoding"} {
 		h.Del(name)
 	}
 	return h
--- a/exchange/answer.go
+++ b/exchange/answer.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fulmarhitch/fulmarhitch/header"
 	"github.com/fulmarhitch/fulmarhitch/outcome"
 )
 
@@ -33,14 +34,13 @@
 	}
 	res := report(resp.Header)
 	reason, refused := refusal(resp)
-	strip(resp.Header)
 	if refused {
 		res.Class = Refused
 		res.Outcome = outcome.NotRun{Reason: reason}
 		return res
 	}
 	res.Class = Answered
-	res.Outcome = outcome.Answered{Status: resp.StatusCode, Header: resp.Header, Body: content}
+	res.Outcome = outcome.Answered{Status: resp.StatusCode, Header: header.EndToEnd(resp.Header), Body: content}
 	return res
 }
 
@@ -49,7 +49,7 @@
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		return false
 	}
-	ids := resp.Header[headerRequestID]
+	ids := resp.Header[header.RequestID]
 	if !a.echo && len(ids) == 0 {
 		return true
 	}
@@ -81,13 +81,13 @@
 // report reads the load and the state from the headers.
 func report(h http.Header) Result {
 	var res Result
-	if v := h[headerLoad]; len(v) == 1 {
+	if v := h[header.Load]; len(v) == 1 {
 		res.Load, res.HasLoad = ParseLoad(v[0])
 	}
-	if v := h[headerState]; len(v) == 1 {
+	if v := h[header.State]; len(v) == 1 {
 		res.State = ParseState(v[0])
 	}
-	if res.State == "" && h.Get(headerRefused) == string(Draining) {
+	if res.State == "" && h.Get(header.Refused) == string(Draining) {
 		res.State = Draining
 	}
 	return res
@@ -96,7 +96,7 @@
 // refusal tells whether the upstream says by its contract that it refused before running. Other values of the header are
 // not part of the contract, and such an answer is passed on as it is.
 func refusal(resp *http.Response) (outcome.Reason, bool) {
-	v := resp.Header[headerRefused]
+	v := resp.Header[header.Refused]
 	if resp.StatusCode != http.StatusServiceUnavailable || len(v) != 1 {
 		return "", false
 	}
--- a/header/header.go
+++ b/header/header.go
@@ -25,25 +25,21 @@
 	Load = "Upstream-Load"
 	// State is ready, cold or draining.
 	State = "Upstream-State"
-)
 
-// hopByHop lists the headers that concern one connection only (RFC 9110, section 7.6.1), and those that
-// make the HTTP library's transport replay a request.
-var hopByHop = map[string]struct{}{
-	"Connection": {}, "Proxy-Connection": {}, "Keep-Alive": {}, "Proxy-Authenticate": {}, "Proxy-Authorization": {},
-	"Te": {}, "Trailer": {}, "Transfer-Encoding": {}, "Upgrade": {}, "Content-Length": {},
-	"Idempotency-Key": {}, "X-Idempotency-Key": {},
-}
+	ownPrefix = "Fulmarhitch-"
+)
 
-// EndToEnd returns a copy of h without hop-by-hop headers, without those that the Connection header
-// lists and without the headers of this package.
+// EndToEnd returns the headers of h that pass a hop, under canonical names and with shared values. It leaves out the
+// headers that concern one connection (RFC 9110, section 7.6.1), those that make HTTP transports send a request
+// again, and those of this package.
 func EndToEnd(h http.Header) http.Header {
-	out := make(http.Header, len(h))
+	// The room is for the headers that the next hop adds.
+	out := make(http.Header, len(h)+4)
 	for name, values := range h {
-		if _, drop := hopByHop[name]; drop || isOwn(name) {
-			continue
+		name = http.CanonicalHeaderKey(name)
+		if !isHopByHop(name) && !isOwn(name) {
+			out[name] = values
 		}
-		out[name] = values
 	}
 	for _, line := range h["Connection"] {
 		for name := range strings.SplitSeq(line, ",") {
@@ -53,6 +49,18 @@
 	return out
 }
 
+// isHopByHop tells whether the header ends here. Expect is among them because a whole body is at hand and is sent at
+// once.
+func isHopByHop(name string) bool {
+	switch name {
+	case "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+		"Transfer-Encoding", "Upgrade", "Expect", "Idempotency-Key", "X-Idempotency-Key":
+		return true
+	default:
+		return false
+	}
+}
+
 func isOwn(name string) bool {
-	return strings.HasPrefix(name, "Fulmarhitch-") || strings.HasPrefix(name, "Upstream-")
+	return strings.HasPrefix(name, ownPrefix) || name == Load || name == State || name == Refused
 }
--- /dev/null
+++ b/header/header_test.go
@@ -0,0 +1,21 @@
+package header_test
+
+import (
+	"net/http"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fulmarhitch/fulmarhitch/header"
+)
+
+// TestEndToEnd guards against headers of one connection, marks for a replay, or forged headers of the protocol that pass a hop.
+func TestEndToEnd(t *testing.T) {
+	Convey("Only end-to-end headers pass", t, func() {
+		got := header.EndToEnd(http.Header{
+			"Accept": {"a"}, "x-lower": {"b"}, "Upstream-Body-Digest": {"c"}, "Connection": {"close, X-Named"}, "X-Named": {"d"},
+			"Te": {"e"}, "Idempotency-Key": {"f"}, "Fulmarhitch-Outcome": {"answered"}, "Upstream-Refused": {"shed"},
+		})
+		So(got, ShouldResemble, http.Header{"Accept": {"a"}, "X-Lower": {"b"}, "Upstream-Body-Digest": {"c"}})
+	})
+}
--- a/load/direct.go
+++ b/load/direct.go
@@ -10,11 +10,10 @@
 	"time"
 
 	"github.com/fulmarhitch/fulmarhitch/caller"
+	"github.com/fulmarhitch/fulmarhitch/header"
 	"github.com/fulmarhitch/fulmarhitch/outcome"
 )
 
-const headerRequestID = "Fulmarhitch-Request-Id"
-
 // callDirect sends the call to the upstream as an entry VM would, without any balancing. Its outcome serves the
 // measurement only: every failure is unknown.
 func (l *Load) callDirect(ctx context.Context, call caller.Call) outcome.Outcome {
@@ -29,9 +28,9 @@
 	}
 	id := rand.Text()
 	deadline, _ := ctx.Deadline()
-	req.Header.Set(headerRequestID, id)
-	req.Header.Set("Fulmarhitch-Deadline-Ms", strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
-	req.Header.Set("Fulmarhitch-Depth", "0")
+	req.Header.Set(header.RequestID, id)
+	req.Header.Set(header.Deadline, strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
+	req.Header.Set(header.Depth, "0")
 	resp, err := l.direct.RoundTrip(req)
 	if err != nil {
 		return outcome.Unknown{Reason: outcome.ConnectionLost, Detail: err.Error()}
@@ -41,10 +40,10 @@
 	if err != nil {
 		return outcome.Unknown{Reason: outcome.Truncated, Detail: err.Error()}
 	}
-	if resp.Header.Get(headerRequestID) != id {
+	if resp.Header.Get(header.RequestID) != id {
 		return outcome.Unknown{Reason: outcome.Mismatched}
 	}
-	if resp.Header.Get("Upstream-Refused") != "" {
+	if resp.Header.Get(header.Refused) != "" {
 		return outcome.NotRun{Reason: outcome.Refused}
 	}
 	return outcome.Answered{Status: resp.StatusCode, Header: resp.Header, Body: body}
--- a/standin/server/answer.go
+++ b/standin/server/answer.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+
+	"github.com/fulmarhitch/fulmarhitch/header"
 )
 
 // answer is what the stand-in says about one request.
@@ -19,7 +21,7 @@
 }
 
 func (s *Server) refuse(w http.ResponseWriter, a answer, why string) {
-	w.Header().Set(headerRefused, why)
+	w.Header().Set(header.Refused, why)
 	s.answer(w, a, http.StatusServiceUnavailable)
 }
 
@@ -31,10 +33,10 @@
 		id = a.faults.WrongID
 	}
 	h := w.Header()
-	h.Set(headerRequestID, id)
+	h.Set(header.RequestID, id)
 	h.Set(headerDigest, a.digest)
-	h.Set(headerLoad, load.String())
-	h.Set(headerState, string(state))
+	h.Set(header.Load, load.String())
+	h.Set(header.State, string(state))
 	h.Set("Content-Type", "application/json")
 	body, _ := json.Marshal(answerWire{RequestID: id, BodyDigest: a.digest})
 	body = append(body, bytes.Repeat([]byte(" "), a.faults.Pad)...)
--- a/standin/server/handler.go
+++ b/standin/server/handler.go
@@ -11,19 +11,13 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-)
 
-// Names of the headers of the upstream protocol, in canonical form.
-const (
-	headerRequestID = "Fulmarhitch-Request-Id"
-	headerDeadline  = "Fulmarhitch-Deadline-Ms"
-	headerLoad      = "Upstream-Load"
-	headerState     = "Upstream-State"
-	headerRefused   = "Upstream-Refused"
-	// headerDigest carries the digest of the request's body.
-	headerDigest = "Upstream-Body-Digest"
+	"github.com/fulmarhitch/fulmarhitch/header"
 )
 
+// headerDigest carries the digest of the request's body.
+const headerDigest = "Upstream-Body-Digest"
+
 // maxBody bounds the body of a request.
 const maxBody = 64 << 20
 
@@ -63,7 +57,7 @@
 	sleep(r.Context(), s.settings.ProbeCost)
 	s.release()
 	_, state := s.reported()
-	w.Header().Set(headerRequestID, r.Header.Get(headerRequestID))
+	w.Header().Set(header.RequestID, r.Header.Get(header.RequestID))
 	writeJSON(w, map[string]State{"state": state})
 }
 
@@ -106,7 +100,7 @@
 	s.mu.Lock()
 	faults, draining := s.faults, s.draining
 	s.mu.Unlock()
-	a := answer{id: r.Header.Get(headerRequestID), digest: Digest(body), faults: faults}
+	a := answer{id: r.Header.Get(header.RequestID), digest: Digest(body), faults: faults}
 	ctx, cancel, passed := withDeadline(r)
 	defer cancel()
 	switch {
@@ -147,7 +141,7 @@
 
 // withDeadline returns the request's context with its deadline and whether the deadline has passed already.
 func withDeadline(r *http.Request) (context.Context, context.CancelFunc, bool) {
-	text := r.Header.Get(headerDeadline)
+	text := r.Header.Get(header.Deadline)
 	if text == "" {
 		return r.Context(), func() {}, false
 	}
