Record added time and store calls in the metrics

Cause: both metrics were registered and nothing recorded them. Ruled out: taking the added time from the total in front, which includes the upstream's time. Change: route measures the time of a request without waits, exchanges and spills; entry counts the calls of the store. Measured: TestAdded finds no sample without the change.

--- a/entry/configuration.go
+++ b/entry/configuration.go
@@ -80,7 +80,7 @@
 	if reason := e.admit(); reason != "" && e.holder.Current() != nil {
 		return submission.Unavailable{Cause: errors.Newf("this entry VM is %s", string(reason))}
 	}
-	return submission.New(e.store, e.holder, declaration.Parse, e.announced, e.log).Submit(ctx, text, base, id)
+	return submission.New(countedStore{e.store, e.metrics}, e.holder, declaration.Parse, e.announced, e.log).Submit(ctx, text, base, id)
 }
 
 // unconfirmed waits for the confirmations of a generation and returns the names of the VMs without one.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -114,7 +114,7 @@
 	e.suspects = suspect.New(e.gossip.Publish)
 	announced := ring.New[uint64](announcedSize)
 	e.reader = reader.New(reader.Config{
-		Store: e.store, Holder: e.holder, IsReader: e.isReader, Announced: announced.Items(), Pull: e.pull, Log: e.log,
+		Store: countedStore{e.store, e.metrics}, Holder: e.holder, IsReader: e.isReader, Announced: announced.Items(), Pull: e.pull, Log: e.log,
 	})
 	e.router = route.New(route.Config{
 		Incarnation: e.incarnation, Groups: e.groups, Upstreams: e.exchange, Peers: e.peers, Suspects: e.suspects,
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -30,6 +30,8 @@
 	fingerprint uint64
 	ticket      dispatch.Ticket
 	attempts    int
+	// away is the time spent waiting for a slot, an upstream or another home.
+	away time.Duration
 	// lost is the reason of an earlier attempt that may have run, or empty.
 	lost outcome.Reason
 	// last is the reason of the last attempt that did not run.
@@ -57,6 +59,8 @@
 	if how == repeated {
 		a.attempts = 1
 	}
+	began := time.Now()
+	defer func() { r.config.Metrics.Class(req.Tenant, req.Class).Added(time.Since(began) - a.away) }()
 	for {
 		switch r.config.Suspects.Level(a.fingerprint, time.Now()) {
 		case quarantine.Quarantined:
@@ -75,7 +79,9 @@
 	metrics := a.router.config.Metrics.Class(a.request.Tenant, a.request.Class)
 	asked := time.Now()
 	grant := a.dispatcher.Acquire(ctx, a.ticket)
-	metrics.Waited(time.Since(asked))
+	waited := time.Since(asked)
+	metrics.Waited(waited)
+	a.away += waited
 	switch g := grant.(type) {
 	case dispatch.Bound:
 		return a.exchange(ctx, g)
@@ -107,6 +113,7 @@
 	a.attempts++
 	res := a.router.config.Upstreams.Do(ctx, a.request, b.Upstream, a.group.Service.MaxAnswer)
 	now := time.Now()
+	a.away += now.Sub(began)
 	a.dispatcher.Release(b, dispatch.Result{
 		Class: classOf(res), State: stateOf(res.State), ServiceTime: now.Sub(began),
 		Load: dispatch.Load(res.Load),
@@ -191,7 +198,9 @@
 		a.dispatcher.Return(s, true)
 		return nil
 	}
+	began := time.Now()
 	out, there, err := a.router.send(ctx, target.Homes[0], peerpb.RunRequest_MODE_SPILL, s.Group, a.request)
+	a.away += time.Since(began)
 	refused := err == nil && isUnrun(out)
 	a.dispatcher.Return(s, refused || errors.Is(err, peer.ErrUnsent))
 	if err == nil {
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -105,16 +105,17 @@
 	upstreams *upstreams
 	peers     *peers
 	groups    *group.Registry
+	metrics   *metric.Metrics
 	admit     outcome.Reason
 }
 
 // newBench returns a router whose plan knows the live members.
 func newBench(live []member.Member, results ...exchange.Result) *bench {
-	b := &bench{upstreams: &upstreams{results: results, delay: time.Millisecond}, peers: &peers{}, groups: group.New(1)}
+	b := &bench{upstreams: &upstreams{results: results, delay: time.Millisecond}, peers: &peers{}, groups: group.New(1), metrics: metric.New()}
 	b.router = route.New(route.Config{
 		Incarnation: incarnation, Groups: b.groups, Upstreams: b.upstreams, Peers: b.peers,
 		Suspects: suspect.New(func(*peerpb.Event) {}), Ledger: ledger.New(incarnation, 1000, time.Now()),
-		Metrics: metric.New(), Sender: func() *peerpb.Sender { return &peerpb.Sender{} },
+		Metrics: b.metrics, Sender: func() *peerpb.Sender { return &peerpb.Sender{} },
 		Live:  func() []member.Member { return live },
 		Admit: func() outcome.Reason { return b.admit }, Observed: func(string, string, upstream.State, time.Time) {},
 	})
@@ -321,3 +322,25 @@
 		})
 	})
 }
+
+// TestAdded guards against a histogram of added time that stays empty or counts the upstream's time.
+func TestAdded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given a request that takes 1 ms at its upstream", t, func() {
+			b := newBench([]member.Member{self}, answered)
+			defer b.stop()
+			b.router.Run(context.Background(), ask("get", key.Key{}))
+			families, err := b.metrics.Registry().Gather()
+			So(err, ShouldBeNil)
+			for _, f := range families {
+				if f.GetName() != "fulmarhitch_added_seconds" {
+					continue
+				}
+				So(f.GetMetric()[0].GetHistogram().GetSampleCount(), ShouldEqual, 1)
+				So(f.GetMetric()[0].GetHistogram().GetSampleSum(), ShouldEqual, 0)
+				return
+			}
+			So("fulmarhitch_added_seconds", ShouldBeEmpty)
+		})
+	})
+}
