Tell all peers of a suspected request before its outcome

Cause: the new tests of package proof run whole fleets. A request that crashes upstreams, repeated through three entry VMs of three failure domains without a pause, cost 3 or 4 upstreams in each of 4 runs. Events go to random peers after a delay of 10 ms, and the planner takes them in its own time, so that a caller that repeats the request at once is quicker than the event.

Ruled out: one failure domain, and pauses of 300 ms between repeats, cost 2 upstreams in the same runs. The table of suspects itself is therefore right.

Change: the VM pushes the suspect to all live peers, for at most 200 ms, before it goes on with the request, and the receiver takes it before it answers the push.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"net"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -69,6 +70,8 @@
 	front    *front.Server
 	peerEnd  *peerServer
 	ready    readiness
+	// announcing counts the suspected requests that peers are being told of.
+	announcing atomic.Int64
 }
 
 // New returns the process for the settings. It opens the two listening sockets, so that a taken address is found
@@ -111,7 +114,7 @@
 	e.exchange = exchange.New(e.connections)
 	e.store = store.New(e.settings.StoreAddress)
 	e.vms = vmlist.New(e.settings.VMListAddress)
-	e.suspects = suspect.New(e.gossip.Publish)
+	e.suspects = suspect.New(e.announce)
 	announced := ring.New[uint64](announcedSize)
 	e.reader = reader.New(reader.Config{
 		Store: e.store, Holder: e.holder, IsReader: e.isReader, Announced: announced.Items(), Pull: e.pull, Log: e.log,
@@ -125,7 +128,7 @@
 	})
 	e.front = e.newFront(callers)
 	e.peerEnd = newPeerServer(peers, peer.Hooks{
-		Ping: e.gossip.Ping, Push: e.gossip.Push, Compare: e.gossip.Compare, Pull: e.servePull, Run: e.router.Serve,
+		Ping: e.gossip.Ping, Push: e.servePush, Compare: e.gossip.Compare, Pull: e.servePull, Run: e.router.Serve,
 	}, e.log)
 	e.register(announced)
 }
--- /dev/null
+++ b/proof/fixture_test.go
@@ -0,0 +1,367 @@
+package proof
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/fulmarhitch/fulmarhitch/entry"
+	"github.com/fulmarhitch/fulmarhitch/envelope"
+	"github.com/fulmarhitch/fulmarhitch/settings"
+	"github.com/fulmarhitch/fulmarhitch/standin/platform"
+	"github.com/fulmarhitch/fulmarhitch/standin/server"
+	"github.com/fulmarhitch/fulmarhitch/vmlist"
+)
+
+// programs is the folder of the built programs.
+var programs string
+
+// TestMain builds the programs once.
+func TestMain(m *testing.M) {
+	os.Exit(runAll(m))
+}
+
+func runAll(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "proof-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	programs = folder
+	build := exec.Command("go", "build", "-o", folder, "../cmd/fulmarhitch", "../cmd/standin-upstream")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "%v: %s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+const (
+	// generous bounds every wait; it is far above the few seconds that a step takes on a busy machine.
+	generous = 25 * time.Second
+	lookup   = "lookup"
+	act      = "registration"
+)
+
+// shape is the size of a fleet. VMs and upstreams are spread over the failure domains in turn.
+type shape struct {
+	domains, vms, upstreams, slots int
+	// vmPrograms and upstreamPrograms start real processes in place of the library forms.
+	vmPrograms, upstreamPrograms bool
+}
+
+type vm struct {
+	name, domain, address, peerAddress, incarnation string
+	process                                         *exec.Cmd
+}
+
+type upstreamVM struct {
+	name, domain, address string
+	server                *server.Server
+	process               *exec.Cmd
+	// last is the record of runs that was read before the process was killed.
+	last map[string]int
+}
+
+type fleet struct {
+	t         *testing.T
+	shape     shape
+	platform  *platform.Platform
+	store     string
+	vms       []*vm
+	upstreams []*upstreamVM
+	entries   []*entry.Entry
+}
+
+// newFleet starts a fleet with a configuration in force and waits until every VM is ready and knows all others.
+func newFleet(t *testing.T, s shape) *fleet {
+	t.Helper()
+	f := &fleet{t: t, shape: s, platform: platform.New()}
+	store := httptest.NewServer(f.platform.Handler())
+	t.Cleanup(store.Close)
+	t.Cleanup(store.CloseClientConnections)
+	t.Cleanup(f.close)
+	f.store = store.Listener.Addr().String()
+	for i := range s.upstreams {
+		f.startUpstream(i)
+	}
+	data, err := envelope.Encode(envelope.Envelope{}.Next("proof", []byte(f.declaration())))
+	f.must(err)
+	f.platform.Put(envelope.Key, 0, data)
+	var starts []func()
+	for i := range s.vms {
+		v := &vm{name: fmt.Sprintf("e%d", i), domain: f.domain(i)}
+		f.vms = append(f.vms, v)
+		starts = append(starts, f.prepare(v))
+	}
+	f.publish()
+	for _, start := range starts {
+		start()
+	}
+	f.joined()
+	return f
+}
+
+func (f *fleet) domain(i int) string { return fmt.Sprintf("fd-%d", i%f.shape.domains) }
+
+func (f *fleet) must(err error) {
+	f.t.Helper()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// until polls until the condition holds.
+func (f *fleet) until(what string, condition func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(generous); !condition(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			f.t.Fatalf("%s: not within %s", what, generous)
+		}
+	}
+}
+
+var addresses atomic.Uint32
+
+// freeAddress returns a free port of a loopback address that nothing else uses, so that no outgoing connection takes
+// the port before the program listens.
+func (f *fleet) freeAddress() string {
+	f.t.Helper()
+	pid := os.Getpid()
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 100+pid>>8%100, pid%256, 1+addresses.Add(1)%250))
+	f.must(err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// program starts a program; it is killed at the end of the test.
+func (f *fleet) program(name string, arguments ...string) *exec.Cmd {
+	f.t.Helper()
+	c := exec.Command(filepath.Join(programs, name), arguments...)
+	// The kernel ends the programs if the test binary is killed by its time limit.
+	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	f.must(c.Start())
+	f.t.Cleanup(func() {
+		_ = c.Process.Kill()
+		_ = c.Wait()
+	})
+	return c
+}
+
+func (f *fleet) startUpstream(i int) {
+	f.t.Helper()
+	u := &upstreamVM{name: fmt.Sprintf("records-%d", i), domain: f.domain(i)}
+	f.upstreams = append(f.upstreams, u)
+	if f.shape.upstreamPrograms {
+		u.address = f.freeAddress()
+		u.process = f.program("standin-upstream", "--address", u.address, "--slots", strconv.Itoa(f.shape.slots), "--mean", "5ms")
+		f.until("upstream listens", func() bool { return listens(u.address) })
+		return
+	}
+	s, err := server.New(server.Settings{Address: "127.0.0.1:0", Slots: f.shape.slots, Waiting: 3, Mean: 5 * time.Millisecond, Seed: uint64(i + 1)})
+	f.must(err)
+	u.server, u.address = s, s.Address()
+	f.t.Cleanup(func() { _ = s.Close() })
+}
+
+func listens(address string) bool {
+	c, err := net.DialTimeout("tcp", address, time.Second)
+	if err == nil {
+		_ = c.Close()
+	}
+	return err == nil
+}
+
+func (f *fleet) declaration() string {
+	var b strings.Builder
+	b.WriteString("max-entry-vms = 8\naddress-lifetime = \"1s\"\ntenants = [\"division\"]\n")
+	for i := range f.shape.domains {
+		fmt.Fprintf(&b, "\n[[failure-domain]]\nname = %q\nregion = \"texas\"\n", f.domain(i))
+	}
+	b.WriteString("\n[[service]]\nname = \"records\"\ntenant = \"division\"\nconnections = 220\nprobes-per-second = 2.0\n")
+	for _, kind := range []string{lookup, act} {
+		fmt.Fprintf(&b, "\n[[service.kind]]\nname = %q\nclass = \"short\"\nidempotent = %t\nweight = 10\ntimeout = \"20s\"\n", kind, kind == lookup)
+	}
+	for _, u := range f.upstreams {
+		fmt.Fprintf(&b, "\n[[service.upstream]]\nname = %q\naddress = %q\nfailure-domain = %q\nslots = %d\n", u.name, u.address, u.domain, f.shape.slots)
+	}
+	return b.String()
+}
+
+// prepare fixes the VM's addresses and returns the function that starts it.
+func (f *fleet) prepare(v *vm) func() {
+	f.t.Helper()
+	if f.shape.vmPrograms {
+		if v.address == "" {
+			v.address, v.peerAddress = f.freeAddress(), f.freeAddress()
+		}
+		file := filepath.Join(f.t.TempDir(), "settings.toml")
+		f.must(os.WriteFile(file, fmt.Appendf(nil, "name = %q\nfailure-domain = %q\naddress = %q\npeer-address = %q\n"+
+			"store-address = %q\nvm-list-address = %q\npeers = []\nlog-level = \"error\"\n",
+			v.name, v.domain, v.address, v.peerAddress, f.store, f.store), 0o600))
+		return func() { v.process = f.program("fulmarhitch", "run", "--settings", file) }
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	e, err := entry.New(&settings.Settings{
+		Name: v.name, FailureDomain: v.domain, Address: "127.0.0.1:0", PeerAddress: "127.0.0.1:0", StoreAddress: f.store,
+		VMListAddress: f.store, StopTimeout: time.Second, LogLevel: "error",
+	}, logrus.NewEntry(log))
+	f.must(err)
+	v.address, v.peerAddress = e.Member().Address, e.Member().PeerAddress
+	return func() {
+		f.must(e.Start(context.Background()))
+		f.entries = append(f.entries, e)
+	}
+}
+
+// close ends the library VMs all at once.
+func (f *fleet) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	var closing sync.WaitGroup
+	for _, e := range f.entries {
+		closing.Go(func() { _ = e.Close(ctx) })
+	}
+	closing.Wait()
+}
+
+// publish sets the platform's VM list to the VMs and the extra ones.
+func (f *fleet) publish(extra ...vmlist.VM) {
+	for _, v := range f.vms {
+		extra = append(extra, vmlist.VM{Name: v.name, Address: v.address, PeerAddress: v.peerAddress,
+			FailureDomain: v.domain, Role: vmlist.Entry, State: vmlist.Live})
+	}
+	f.platform.SetVMs(extra)
+}
+
+type status struct {
+	Incarnation string `json:"incarnation"`
+	Ready       bool   `json:"ready"`
+	Running     int    `json:"running"`
+	Members     []struct{ Name, Address, State string }
+	Groups      []struct{ Group string }
+}
+
+func (f *fleet) status(v *vm) (status, bool) {
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	var s status
+	res, err := client.Get("http://" + v.address + "/v1/status")
+	if err != nil {
+		return s, false
+	}
+	defer func() { _ = res.Body.Close() }()
+	return s, json.NewDecoder(res.Body).Decode(&s) == nil
+}
+
+// joined waits until every VM is ready and sees every other VM alive at its present address.
+func (f *fleet) joined() {
+	f.t.Helper()
+	for _, v := range f.vms {
+		f.until(v.name+" is ready and knows the fleet", func() bool {
+			s, ok := f.status(v)
+			v.incarnation = s.Incarnation
+			alive := make(map[string]bool)
+			for _, m := range s.Members {
+				alive[m.Address] = m.State == "alive"
+			}
+			for _, other := range f.vms {
+				ok = ok && alive[other.address]
+			}
+			return ok && s.Ready
+		})
+	}
+}
+
+// home returns the VM that is home of the only group.
+func (f *fleet) home() *vm {
+	f.t.Helper()
+	for _, v := range f.vms {
+		if s, ok := f.status(v); ok && len(s.Groups) > 0 {
+			return v
+		}
+	}
+	f.t.Fatal("no VM is home of the group")
+	return nil
+}
+
+// others returns the VMs but this one.
+func (f *fleet) others(v *vm) []*vm {
+	var all []*vm
+	for _, o := range f.vms {
+		if o != v {
+			all = append(all, o)
+		}
+	}
+	return all
+}
+
+func (f *fleet) signal(c *exec.Cmd, s syscall.Signal) {
+	f.t.Helper()
+	f.must(c.Process.Signal(s))
+}
+
+func (f *fleet) kill(c *exec.Cmd) {
+	f.signal(c, syscall.SIGKILL)
+	_ = c.Wait()
+}
+
+// faults replaces the faults of the upstream.
+func (f *fleet) faults(u *upstreamVM, text string) {
+	f.t.Helper()
+	req, err := http.NewRequest(http.MethodPut, "http://"+u.address+"/control/faults", strings.NewReader(text))
+	f.must(err)
+	res, err := http.DefaultClient.Do(req)
+	f.must(err)
+	_ = res.Body.Close()
+	if res.StatusCode != http.StatusNoContent {
+		f.t.Fatalf("faults %s: status %d", text, res.StatusCode)
+	}
+}
+
+// ran returns how often each body ran by its digest, in the record of one upstream.
+func (f *fleet) ran(u *upstreamVM) map[string]int {
+	f.t.Helper()
+	counts := make(map[string]int)
+	if u.server != nil {
+		for _, r := range u.server.Runs() {
+			counts[r.Digest]++
+		}
+		return counts
+	}
+	if u.last != nil {
+		return u.last
+	}
+	res, err := http.Get("http://" + u.address + "/control/runs")
+	f.must(err)
+	defer func() { _ = res.Body.Close() }()
+	f.must(json.NewDecoder(res.Body).Decode(&counts))
+	return counts
+}
+
+// runs returns how often the body ran at all upstreams.
+func (f *fleet) runs(body string) int {
+	f.t.Helper()
+	n := 0
+	for _, u := range f.upstreams {
+		n += f.ran(u)[digestOfBody(body)]
+	}
+	return n
+}
