Report unknown for a key that a new process can't judge

Cause: a VM was killed and replaced by a process of the same name and address. The other VMs still sent the old process's keys there, and the new process, without a configuration in force yet, answered "not run" (not-ready) about a request that had run.

Ruled out: the ledger, which answers unknown for another incarnation, and the check of readiness, which does the same.

Change: a request that is sent for its key gets the outcome unknown in place of that refusal.

TestActRunsAtMostOnce holds the cases of keys.

--- a/route/router.go
+++ b/route/router.go
@@ -116,6 +116,11 @@
 	}
 	p := r.Plan()
 	if refusal := describe(p, req); refusal != nil {
+		if m.GetMode() == peerpb.RunRequest_MODE_KEY {
+			// This process may have replaced the one that ran the key, or the configuration may have changed since.
+			unknown := outcome.Unknown{Reason: outcome.HomeGone, Detail: string(refusal.Reason)}
+			return peer.EncodeOutcome(req.ID, unknown, 0, 0), nil
+		}
 		return peer.EncodeOutcome(req.ID, *refusal, 0, 0), nil
 	}
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
