Earn a retry budget before a crashing request is sent

Cause: in 1 of about 45 runs of the cases of TestCrashingRequest with the race detector, 1 of 264 lookups of other callers was not answered. The test then printed only the count. On a scratch copy whose budget never covers a retry, 1 lookup ended unknown in each of 2 runs with "connection-lost: no retry: refused". The likely cause is therefore the limit of retries to 0.2 of the offered load, which a fleet that has served no call has not earned yet; the failure itself was not seen again.

Change: 320 calls precede the crashing request, and the test names each unanswered lookup with its reason. The bound stays at none.

--- a/proof/answer_test.go
+++ b/proof/answer_test.go
@@ -19,14 +19,16 @@
 type traffic struct {
 	mu   sync.Mutex
 	told map[[2]string]told
-	// count counts the callers that waited by kind, by outcome and by both.
+	// count counts the callers that waited by outcome.
 	count map[string]int
+	// unanswered lists, by kind, what other callers that waited were told.
+	unanswered map[string][]string
 }
 
 // load sends calls of both kinds with bodies of their own by the callers' library, 16 at a time. Every eighth caller
 // goes away in the middle.
 func (f *fleet) load(name string, calls int, timeout time.Duration) *traffic {
-	tr := &traffic{told: make(map[[2]string]told), count: make(map[string]int)}
+	tr := &traffic{told: make(map[[2]string]told), count: make(map[string]int), unanswered: make(map[string][]string)}
 	var entries []string
 	for _, v := range f.vms {
 		entries = append(entries, v.address)
@@ -70,9 +72,10 @@
 	defer tr.mu.Unlock()
 	tr.told[[2]string{kind, text}] = t
 	if patience == timeout {
-		tr.count[kind]++
 		tr.count[t.outcome]++
-		tr.count[kind+" "+t.outcome]++
+		if t.outcome != "answered" {
+			tr.unanswered[kind] = append(tr.unanswered[kind], fmt.Sprintf("%s: %+v", text, out))
+		}
 	}
 }
 
--- a/proof/crash_test.go
+++ b/proof/crash_test.go
@@ -28,6 +28,8 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			f := newFleet(t, shape{domains: c.domains, vms: 3, upstreams: 9, slots: 3, upstreamPrograms: c.programs})
+			// Retries are limited to 0.2 of the offered load, so that the homes first need some to retry lookups at a death.
+			f.load("before", 320, 8*time.Second)
 			for _, u := range f.upstreams {
 				f.faults(u, `{"crash-text":"poison"}`)
 			}
@@ -44,9 +46,9 @@
 			Convey(name, t, func() {
 				So(dead, ShouldBeBetweenOrEqual, 1, 2)
 				So(quarantined, ShouldBeGreaterThan, 0)
-				So(tr.count[lookup+" answered"], ShouldEqual, tr.count[lookup])
+				So(tr.unanswered[lookup], ShouldBeEmpty)
 				// The registrations that ran beside the crashing one are unknown, at most two at each lost upstream.
-				So(tr.count[act]-tr.count[act+" answered"], ShouldBeLessThanOrEqualTo, 4)
+				So(len(tr.unanswered[act]), ShouldBeLessThanOrEqualTo, 4)
 				if !c.programs {
 					// The record of a program is lost with it.
 					So(f.runs(poison), ShouldEqual, dead)
