--- a/entry/probe.go
+++ b/entry/probe.go
@@ -39,10 +39,10 @@
 }
 
 // targets returns the upstreams that this VM should probe. A VM that is not ready probes nothing, because the fleet
-// may have no room for it.
+// may have no room for it; nor does a process whose name another one has taken over.
 func (e *Entry) targets(now time.Time) []probe.Target {
 	p := e.router.Plan()
-	if p == nil || !e.ready.set.Load() {
+	if p == nil || !e.ready.set.Load() || e.gossip.Replaced() {
 		return nil
 	}
 	var all []probe.Target
--- a/entry/readiness.go
+++ b/entry/readiness.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/fulmarhitch/fulmarhitch/declaration"
 	"github.com/fulmarhitch/fulmarhitch/member"
 	"github.com/fulmarhitch/fulmarhitch/outcome"
 )
@@ -19,6 +20,10 @@
 
 // admit returns the reason to refuse requests, or an empty one.
 func (e *Entry) admit() outcome.Reason {
+	// The fleet's limits have no share for two processes of one name, and peers no longer count this one.
+	if e.gossip.Replaced() {
+		return outcome.NotReady
+	}
 	if !e.ready.set.Load() && !e.becomeReady() {
 		return outcome.NotReady
 	}
@@ -47,7 +52,7 @@
 	if len(live) > p.Declaration.MaxEntryVMs {
 		return false
 	}
-	if e.reader.Confirmed().IsZero() && !e.confirmedByPeers(live) {
+	if e.reader.Confirmed().IsZero() && !e.confirmedByPeers(p.Declaration, live) {
 		return false
 	}
 	e.ready.set.Store(true)
@@ -55,16 +60,16 @@
 	return true
 }
 
-// confirmedByPeers tells whether peers of at least two failure domains, or of the only one, have announced their
-// generations and none is above this VM's.
-func (e *Entry) confirmedByPeers(live []member.Member) bool {
+// confirmedByPeers tells whether peers of at least two failure domains, or of the only one that the file names, have
+// announced their generations and none is above this VM's. The file counts and not the live members, because a starting
+// VM that has heard of one failure domain only may have been cut off from the others.
+func (e *Entry) confirmedByPeers(d *declaration.Declaration, live []member.Member) bool {
 	generations := e.gossip.Generations()
-	all, heard := make(map[string]bool), make(map[string]bool)
+	heard := make(map[string]bool)
 	for _, m := range live {
 		if m.Name == e.self.Name {
 			continue
 		}
-		all[m.FailureDomain] = true
 		n := generations[m.Name]
 		if n > e.holder.Generation() {
 			return false
@@ -73,5 +78,5 @@
 			heard[m.FailureDomain] = true
 		}
 	}
-	return len(heard) >= min(2, max(len(all), 1))
+	return len(heard) >= min(2, max(len(d.FailureDomains), 1))
 }
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -27,7 +27,8 @@
 	Quarantined Reason = "quarantined"
 	// Isolated marks a request at an entry VM that hears neither the store nor any peer.
 	Isolated Reason = "isolated"
-	// NotReady marks a request at an entry VM that has no configuration in force yet.
+	// NotReady marks a request at an entry VM that does not serve: it has no confirmed configuration yet, the fleet has
+	// no room for it, or another process has taken over its name.
 	NotReady Reason = "not-ready"
 	// TooDeep marks a request nested deeper than the limit.
 	TooDeep Reason = "too-deep"
