Leave an upstream alone while its host is probably disturbed

Change: pool estimates the chance that an upstream is disturbed right now from its last service times and the ages of its running requests. The chance raises the cost in the choice, and a request waits up to 0.4 of the mean service time for another upstream. Equal upstreams count with the median, because their smoothed service times differ by chance.

The new test fails against the former pool: line 131, expected false, actual true.

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -13,9 +13,15 @@
 const (
 	// slowFactor is how many times the group's median a service time must be to count as slow.
 	slowFactor = 4
+	// equalFactor is the ratio of service times from which on two upstreams are not taken for equal.
+	equalFactor = 1.75
 	// slowInterval is the time between requests to a slow upstream while others can be used. They measure it without
 	// making more than a few requests late.
 	slowInterval = 250 * time.Millisecond
+	// doubtWait is the part of the mean service time, times the chance of a disturbance, that a request may wait for
+	// an upstream that is probably not disturbed. With twice as much a group near its capacity leaves too many slots
+	// idle.
+	doubtWait = 0.4
 	// firstMean is the mean service time assumed before the first answer.
 	firstMean = 10 * time.Millisecond
 	// meanSmoothing is the weight of a new service time in the group's mean.
@@ -44,6 +50,9 @@
 	state    *upstream.Upstream
 	// used is the last time at which a slot was taken.
 	used time.Time
+	pace pace
+	// chance is the probability of a disturbance at the last Acquire.
+	chance float64
 }
 
 // Slot is a slot taken by a request until Release.
@@ -52,6 +61,7 @@
 	Upstream declaration.Upstream
 
 	member        *member
+	start         time.Time
 	long, suspect bool
 }
 
@@ -96,9 +106,9 @@
 	distrust := p.distrust(now)
 	var best *member
 	var bestCost float64
-	spare := p.spare(exclude, now)
+	spare, calm := p.spare(exclude, now)
 	for _, m := range p.members {
-		if spare && p.avoid(m, now) {
+		if spare && p.avoid(m, now) || calm && p.doubt(m) {
 			continue
 		}
 		if !p.usable(m, distrust, now) || m.declared.Name == exclude || suspect && m.state.Suspects() > 0 {
@@ -118,10 +128,11 @@
 	}
 	best.used = now
 	best.state.Start(suspect)
+	best.pace.start(now)
 	if r.Long {
 		p.long++
 	}
-	return Slot{Upstream: best.declared, member: best, long: r.Long, suspect: suspect}, true
+	return Slot{Upstream: best.declared, member: best, start: now, long: r.Long, suspect: suspect}, true
 }
 
 // Release ends the use of a slot; service is the time that the request ran.
@@ -129,6 +140,7 @@
 	if s.long {
 		p.long--
 	}
+	s.member.pace.finish(s.start, class == upstream.Answered, service, p.mean, now)
 	s.member.state.Finish(class, s.suspect, service, p.mean, now)
 	if class != upstream.Answered {
 		p.quiet = false
@@ -239,14 +251,15 @@
 	return max(int(p.longShare*float64(slots)), 1)
 }
 
-// cost is the expected service time at the member, raised by its share of taken slots.
+// cost is the expected service time at the member, raised by its share of taken slots. Smoothed service times of equal
+// upstreams often differ by half by chance, hence the median stands for those within that range.
 func (p *Pool) cost(m *member, free int, r *request.Request) float64 {
 	typical, ok := m.state.Typical()
-	if !ok {
+	if ratio := float64(typical) / float64(max(p.median, 1)); !ok || ratio < equalFactor && ratio > 1/equalFactor {
 		typical = max(p.median, time.Millisecond)
 	}
 	taken := 1 - float64(free)/float64(m.state.Slots())
-	cost := float64(typical) * (1 + taken)
+	cost := float64(typical) * (1 + (disturbance-1)*m.chance) * (1 + taken)
 	if m.state.Trial() && !r.Idempotent {
 		// An upstream that failed before may lose the request, which can't be repeated.
 		cost *= slowFactor
@@ -256,11 +269,16 @@
 }
 
 // spare reports whether any upstream but the excluded one is not slow and may be used, now or when a slot of it becomes
-// free.
-func (p *Pool) spare(exclude string, now time.Time) bool {
-	return slices.ContainsFunc(p.members, func(m *member) bool {
-		return !m.state.Slow() && m.declared.Name != exclude && p.usable(m, false, now)
-	})
+// free; calm tells whether one of these is probably not disturbed. It also estimates the disturbances.
+func (p *Pool) spare(exclude string, now time.Time) (spare, calm bool) {
+	for _, m := range p.members {
+		m.chance = m.pace.chance(p.mean, now)
+		if !m.state.Slow() && m.declared.Name != exclude && p.usable(m, false, now) {
+			spare = true
+			calm = calm || m.chance <= 0.5
+		}
+	}
+	return spare, calm
 }
 
 // avoid reports whether a slow upstream should be left alone, because waiting for another one takes less time.
@@ -273,6 +291,13 @@
 	return p.wait < 2*typical
 }
 
+// doubt reports whether an upstream that is probably disturbed should be left alone for the moment. Without a typical
+// service time it is used, so that one that is slow for long is found.
+func (p *Pool) doubt(m *member) bool {
+	_, known := m.state.Typical()
+	return known && !m.state.Slow() && m.chance > 0.5 && float64(p.wait) < doubtWait*m.chance*float64(p.mean)
+}
+
 // mark finds the median service time and marks the upstreams far above it as slow.
 func (p *Pool) mark() {
 	var buffer [64]time.Duration
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -100,6 +100,37 @@
 			run(p, 8, nil, map[string]time.Duration{"u0": 80 * ms})
 		}
 	})
+	Convey("an upstream that takes longer than just before is left alone for a short wait, but not for a straggler", t, func() {
+		for _, c := range []struct {
+			service, age, wait time.Duration
+			want               bool
+		}{
+			{service: 40 * ms, age: 40 * ms, want: false},
+			{service: 40 * ms, age: 40 * ms, wait: 20 * ms, want: true},
+			{service: 8 * ms, age: 400 * ms, want: true},
+		} {
+			p := fill(2)
+			run(p, 20, nil, nil)
+			at := now.Add(450 * ms)
+			for i, exclude := range []string{"u1", "u1", "u0", "u0"} {
+				s, _ := p.Acquire(&request.Request{}, exclude, false, at)
+				switch i {
+				case 0:
+					// This one runs on.
+				case 1:
+					p.Release(s, upstream.Answered, c.service, at.Add(c.service))
+				default:
+					p.Release(s, upstream.Answered, 8*ms, at.Add(8*ms))
+				}
+			}
+			for range 2 {
+				p.Acquire(&request.Request{}, "u0", false, at.Add(c.age))
+			}
+			p.SetWait(c.wait)
+			_, ok := p.Acquire(&request.Request{}, "", false, at.Add(c.age))
+			So(ok, ShouldEqual, c.want)
+		}
+	})
 	Convey("long work holds its share only", t, func() {
 		p := fill(3)
 		p.SetLongShare(0.5)
