--- a/pool/pool.go
+++ b/pool/pool.go
@@ -22,6 +22,9 @@
 	// an upstream that is probably not disturbed. With twice as much a group near its capacity leaves too many slots
 	// idle.
 	doubtWait = 0.4
+	// estimateInterval is the time between estimates of the median and of disturbances. It is short against a service
+	// time and saves most of the work of a busy group.
+	estimateInterval = 2 * time.Millisecond
 	// firstMean is the mean service time assumed before the first answer.
 	firstMean = 10 * time.Millisecond
 	// meanSmoothing is the weight of a new service time in the group's mean.
@@ -43,6 +46,8 @@
 	// upstream for most events.
 	quiet bool
 	wait  time.Duration
+	// estimated is the time of the last estimate.
+	estimated time.Time
 }
 
 type member struct {
@@ -51,7 +56,7 @@
 	// used is the last time at which a slot was taken.
 	used time.Time
 	pace pace
-	// chance is the probability of a disturbance at the last Acquire.
+	// chance is the probability of a disturbance at the last estimate.
 	chance float64
 }
 
@@ -103,6 +108,7 @@
 	if r.Long && p.long >= p.longLimit() {
 		return Slot{}, false
 	}
+	p.estimate(now)
 	distrust := p.distrust(now)
 	var best *member
 	var bestCost float64
@@ -150,7 +156,6 @@
 		x := min(service, meanClamp*p.mean)
 		p.mean += time.Duration(float64(x-p.mean) * meanSmoothing)
 	}
-	p.mark()
 }
 
 // Observe passes a statement about the upstream on; an unknown name is ignored.
@@ -269,18 +274,31 @@
 }
 
 // spare reports whether any upstream but the excluded one is not slow and may be used, now or when a slot of it becomes
-// free; calm tells whether one of these is probably not disturbed. It also estimates the disturbances.
+// free; calm tells whether one of these is probably not disturbed.
 func (p *Pool) spare(exclude string, now time.Time) (spare, calm bool) {
 	for _, m := range p.members {
-		m.chance = m.pace.chance(p.mean, now)
 		if !m.state.Slow() && m.declared.Name != exclude && p.usable(m, false, now) {
 			spare = true
-			calm = calm || m.chance <= 0.5
+			if calm = m.chance <= 0.5; calm {
+				break
+			}
 		}
 	}
 	return spare, calm
 }
 
+// estimate brings the median and the chances of disturbances up to date.
+func (p *Pool) estimate(now time.Time) {
+	if now.Sub(p.estimated) < estimateInterval {
+		return
+	}
+	p.estimated = now
+	p.mark()
+	for _, m := range p.members {
+		m.chance = m.pace.chance(p.mean, now)
+	}
+}
+
 // avoid reports whether a slow upstream should be left alone, because waiting for another one takes less time.
 func (p *Pool) avoid(m *member, now time.Time) bool {
 	if !m.state.Slow() || now.Sub(m.used) >= slowInterval {
