measure: add the other services and two homes of one group

In the situation two-homes a second VM also acts as home of the first group from 2 s to 4 s and gets the requests of every second client of that failure domain.

Callers that send a request again after "not run" are not modelled.

--- a/measure/homes.go
+++ b/measure/homes.go
@@ -16,6 +16,8 @@
 type homes struct {
 	world *world
 	homes []*home
+	// twin is a second home of the first group, or nil. It takes every second client's requests.
+	twin *home
 }
 
 // home is the home of one group.
@@ -51,6 +53,9 @@
 	if w.situation.Kill > 0 {
 		w.after(w.situation.Kill, p.kill)
 	}
+	if w.situation.Twin > 0 {
+		w.after(w.situation.Twin, func() { p.twin = p.build(0, 2) })
+	}
 	w.after(reportEvery, p.report)
 	return p
 }
@@ -72,6 +77,10 @@
 
 func (p *homes) arrive(j *job) {
 	h := p.homes[p.world.domain(j.client)]
+	end := p.world.situation.Twin + twinLength
+	if h.index == 0 && p.twin != nil && p.world.now < end && j.client/p.world.service.Domains%2 == 1 {
+		h = p.twin
+	}
 	p.world.after(p.world.toClient(), func() { p.reach(h, j) })
 }
 
@@ -227,10 +236,12 @@
 		w.after(staleness, func() {
 			for k, to := range p.homes {
 				if k != i {
-					to.core.Report(strconv.Itoa(i), free, waiting, made, w.time())
-					to.poke()
+					to.hear(i, free, waiting, made)
 				}
 			}
+			if p.twin != nil && i != 0 {
+				p.twin.hear(i, free, waiting, made)
+			}
 		})
 	}
 	if w.now < length {
@@ -238,6 +249,12 @@
 	}
 }
 
+// hear passes a report of another home to the core.
+func (h *home) hear(index, free, waiting int, made time.Time) {
+	h.core.Report(strconv.Itoa(index), free, waiting, made, h.policy.world.time())
+	h.poke()
+}
+
 // kill ends the first home. Another VM takes its place, which does not know the running jobs.
 func (p *homes) kill() {
 	old := p.homes[0]
--- a/measure/service.go
+++ b/measure/service.go
@@ -31,7 +31,7 @@
 	stretch     = 50
 )
 
-// Services returns the largest and the smallest service of both deployments.
+// Services returns the services of both deployments; the largest and the smallest of each come first.
 func Services() []Service {
 	division := Service{Deployment: "division", Domains: 3, OneWay: 5 * time.Millisecond, Slots: 3, VMs: 15}
 	talgljus := Service{Deployment: "talgljus", Domains: 4, OneWay: 3500 * time.Microsecond, Slots: 6, VMs: 16}
@@ -44,6 +44,10 @@
 		of(division, "transfers", 6, false),
 		of(talgljus, "stock", 20, true),
 		of(talgljus, "kiln", 8, false),
+		of(division, "registrations", 7, false),
+		of(division, "withdrawals", 6, false),
+		of(talgljus, "orders", 10, false),
+		of(talgljus, "notes", 8, false),
 	}
 }
 
--- a/measure/situation.go
+++ b/measure/situation.go
@@ -24,6 +24,8 @@
 	Stragglers, Long float64
 	// Kill is the time at which the first group's home is killed, or 0.
 	Kill time.Duration
+	// Twin is the time from which a second VM also acts as home of the first group, for twinLength, or 0.
+	Twin time.Duration
 	// From is the time from which requests are counted.
 	From time.Duration
 }
@@ -32,6 +34,8 @@
 	warmUp = time.Second
 	length = 5 * time.Second
 	crest  = 3 * time.Second
+
+	twinLength = 2 * time.Second
 )
 
 func constant(load float64) func(time.Duration) float64 {
@@ -70,6 +74,7 @@
 		of("noisy", func(s *Situation) { s.Noisy = true; s.Load = constant(0.5) }),
 		of("cold", func(s *Situation) { s.Cold = true }),
 		of("vm-loss", func(s *Situation) { s.Kill = 2 * time.Second }),
+		of("two-homes", func(s *Situation) { s.Twin = 2 * time.Second }),
 		of("combined", func(s *Situation) {
 			s.Slow, s.Failing, s.Noisy, s.Loss, s.Jitter = 10, true, true, 0.02, 0.5
 			s.Stragglers, s.Load, s.Kill = 0.01, constant(0.4), 2*time.Second
