Share an upstream's slots when it refuses for want of one

Cause: when two VMs act as home of a group, an upstream refuses requests because the other home uses its slots. Each refusal counted as a failure, so three in a row ejected a healthy upstream, and the next requests were refused twice.

Change: a refusal whose load report shows all slots taken has the class Shed.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -116,7 +116,11 @@
 	if service <= 0 {
 		service = now.Sub(b.granted)
 	}
-	c.pool.Release(b.slot, res.Class, service, now)
+	class := res.Class
+	if class == upstream.Refused && res.Load.Slots > 0 && res.Load.Running >= res.Load.Slots {
+		class = upstream.Shed
+	}
+	c.pool.Release(b.slot, class, service, now)
 	c.pool.Hear(b.slot, res.State)
 	c.settle(now)
 }
--- a/measure/homes.go
+++ b/measure/homes.go
@@ -146,11 +146,12 @@
 			}
 			return
 		}
+		load := upstream.Load{Running: v.running, Slots: v.slots}
 		state := upstream.Ready
 		if v.cold > 0 {
 			state = upstream.Cold
 		}
-		a.home.core.Release(b, dispatch.Result{Class: c, State: state}, w.time())
+		a.home.core.Release(b, dispatch.Result{Class: c, Load: load, State: state}, w.time())
 		a.finish(t, b.Upstream.Name, reply{class: c}, false)
 		a.home.poke()
 	})
--- a/measure/measure_test.go
+++ b/measure/measure_test.go
@@ -34,7 +34,7 @@
 // TestTargets guards against changes of the decisions that lose the order of the policies or a target of section 1.4.
 func TestTargets(t *testing.T) {
 	Convey("homes stay near the bound and far from choosing alone", t, func() {
-		results := measure.Run(plan(4, "steady", "slow+failing", "crest", "stragglers"))
+		results := measure.Run(plan(4, "steady", "slow+failing", "crest", "stragglers", "two-homes"))
 		p99, weight := make(map[string]float64), make(map[string]float64)
 		for _, r := range results {
 			if r.Service == "lookups" && r.Seed == 1 {
@@ -47,6 +47,7 @@
 		So(p99["stragglers homes"], ShouldBeLessThan, 1.3*p99["steady homes"])
 		So(p99["slow+failing homes"], ShouldBeLessThan, 1.15*p99["slow+failing bound+network"])
 		So(weight["crest homes"], ShouldBeGreaterThan, 0.95*weight["crest bound+network"])
+		So(weight["two-homes homes"], ShouldBeGreaterThan, 0.995*weight["two-homes bound+network"])
 		for _, name := range []string{"random", "round-robin", "least-requests", "two-choices"} {
 			So(p99["steady "+name], ShouldBeGreaterThan, 1.2*p99["steady homes"])
 		}
--- a/upstream/class.go
+++ b/upstream/class.go
@@ -21,6 +21,9 @@
 	Timeout
 	// Cancelled is a request that its caller withdrew; it says nothing about the upstream.
 	Cancelled
+	// Shed is a refusal before the request ran, because all slots of the upstream were taken. Another home of the
+	// group may use them, so it shows no fault of the upstream.
+	Shed
 )
 
 // State is what an upstream or its VM says about itself.
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -10,6 +10,9 @@
 const (
 	// EjectAfter is the number of consecutive failures that ejects an upstream.
 	EjectAfter = 3
+	// ShedLimit is the number of consecutive refusals for want of a slot from which on each counts as a failure. An
+	// upstream whose slots are used by another home answers in between; one that only claims to be busy does not.
+	ShedLimit = 20
 	// FirstBackOff and LastBackOff bound the time of an ejection, which doubles from one to the other.
 	FirstBackOff = time.Second
 	LastBackOff  = 30 * time.Second
@@ -38,9 +41,11 @@
 	samples int
 
 	failures int
-	backOff  time.Duration
-	until    time.Time
-	ejected  bool
+	// shed is the number of consecutive refusals for want of a slot.
+	shed    int
+	backOff time.Duration
+	until   time.Time
+	ejected bool
 
 	// limit is the number of slots that slow start allows; successes count towards the next one.
 	limit, successes int
@@ -171,6 +176,16 @@
 		// A request without an answer held its slot until its deadline already.
 		u.sample(service)
 		u.fail(now)
+	case Shed:
+		// The other slots are used by another home. Slow start finds out when they are free again.
+		u.limit = min(max(u.running, 1), u.limit)
+		u.successes = 0
+		if u.running == 0 {
+			u.held = append(u.held, now.Add(hold))
+		}
+		if u.shed++; u.shed >= ShedLimit {
+			u.fail(now)
+		}
 	case Failed, Refused, Unsent, Lost, Died:
 		u.held = append(u.held, now.Add(hold))
 		u.fail(now)
@@ -229,6 +244,7 @@
 
 func (u *Upstream) succeed() {
 	u.failures = 0
+	u.shed = 0
 	u.backOff = 0
 	u.trial = false
 	if u.limit >= u.slots {
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -12,7 +13,7 @@
 
 const ms = time.Millisecond
 
-// TestHealth guards against an upstream that is used while failing, or that returns at once with all its slots.
+// TestHealth guards against an upstream that is used while failing, is ejected while another home uses its slots, or that returns at once with all its slots.
 func TestHealth(t *testing.T) {
 	now := time.Unix(1000, 0)
 	once := func(u *upstream.Upstream, c upstream.Class) {
@@ -31,6 +32,8 @@
 		"a failed request holds its slot":  {[]upstream.Class{1, 0}, 7 * ms, false, 2},
 		"one slot after the ejection":      {[]upstream.Class{1, 1, 1}, 1300 * ms, false, 1},
 		"timeouts eject and hold no slot":  {[]upstream.Class{6, 6, 6}, 0, true, 3},
+		"a full upstream is not ejected":   {[]upstream.Class{8, 8, 8}, 9 * ms, false, 1},
+		"one that claims to be full is":    {slices.Repeat([]upstream.Class{8}, upstream.ShedLimit+upstream.EjectAfter-1), 700 * ms, true, 1},
 		"an ejection is not moved forward": {[]upstream.Class{1, 1, 1, 1, 1}, 1300 * ms, false, 1},
 	} {
 		Convey(name, t, func() {
