Tell "not run" of a refused key only if no request with it can have run

Cause: a VM that is isolated, not ready, or has another configuration by now refused a repeated key as "not run", although its first request may have run there or at another incarnation. The same held for bad requests in the front. Ruled out: unknown for every refused request with a key, because a caller could then never go elsewhere after a first use. Change: the ledger records the refusal of a new key, so that a late copy of it never runs, and answers unknown for a used key; keys of other incarnations are unknown.

--- a/entry/front.go
+++ b/entry/front.go
@@ -15,7 +15,7 @@
 
 func (e *Entry) newFront(l net.Listener) *front.Server {
 	return front.New(front.Config{
-		Listener: l, Run: e.router.Run, Current: e.holder.Current, Addresses: e.addresses, Submit: e.submit,
+		Listener: l, Run: e.router.Run, Refuse: e.router.Refuse, Current: e.holder.Current, Addresses: e.addresses, Submit: e.submit,
 		Unconfirmed: e.unconfirmed, Status: e.status, Metrics: e.metrics.Handler(), Log: e.log,
 	})
 }
--- a/front/call.go
+++ b/front/call.go
@@ -53,7 +53,7 @@
 	id := req.Header.Get(header.RequestID)
 	r, refusal := s.decodeCall(w, req, arrived)
 	if refusal != nil {
-		writeOutcome(w, id, *refusal)
+		writeOutcome(w, id, s.config.Refuse(req.Header.Get(header.Key), *refusal))
 		return
 	}
 	writeOutcome(w, id, s.config.Run(req.Context(), r))
--- a/front/call_test.go
+++ b/front/call_test.go
@@ -34,6 +34,7 @@
 	var ran string
 	s := New(Config{
 		Listener: l, Metrics: http.NotFoundHandler(), Current: func() *generation.Current { return &generation.Current{Declaration: d} },
+		Refuse: func(_ string, refusal outcome.NotRun) outcome.Outcome { return refusal },
 		Run: func(_ context.Context, r *request.Request) outcome.Outcome {
 			ran = r.Path
 			return outcome.Answered{Status: http.StatusOK}
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -39,7 +39,8 @@
 	var ran []*request.Request
 	s := front.New(front.Config{
 		Listener: l, Current: func() *generation.Current { return current }, Metrics: http.NotFoundHandler(), Log: logrus.NewEntry(log),
-		Run: func(_ context.Context, r *request.Request) outcome.Outcome { ran = append(ran, r); return out },
+		Refuse: func(_ string, refusal outcome.NotRun) outcome.Outcome { return refusal },
+		Run:    func(_ context.Context, r *request.Request) outcome.Outcome { ran = append(ran, r); return out },
 		Addresses: func(service string, _ steer.Caller, now time.Time) (steer.Addresses, error) {
 			if service != "s" {
 				return steer.Addresses{}, steer.ErrNoService
--- a/front/server.go
+++ b/front/server.go
@@ -35,6 +35,8 @@
 	Listener net.Listener
 	// Run runs one request and returns its outcome.
 	Run func(ctx context.Context, r *request.Request) outcome.Outcome
+	// Refuse returns what the caller of a refused request with the text of its key may be told.
+	Refuse func(key string, refusal outcome.NotRun) outcome.Outcome
 	// Current returns the configuration in force, or nil if there is none yet.
 	Current func() *generation.Current
 	// Addresses answers which entry VMs a caller should use for a service.
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -85,15 +85,52 @@
 	if r, ok := s.windows[w][i]; ok {
 		return s.repeat(w, i, r, fingerprint)
 	}
+	if !l.add(s, w, i, record{fingerprint: fingerprint}) {
+		return Refused{outcome.LedgerFull}
+	}
+	return Started{}
+}
+
+// Refuse records that a request with the key is refused before it was looked at closer, and returns what its caller
+// may be told. The refusal holds only if no earlier request used the key and no later copy of this one can run.
+func (l *Ledger) Refuse(k key.Key, refusal outcome.NotRun, now time.Time) outcome.Outcome {
+	ms := l.Now(now).UnixMilli()
+	switch {
+	case k.Incarnation != l.incarnation:
+		return outcome.Unknown{Reason: outcome.HomeGone, Detail: string(refusal.Reason)}
+	case k.Expiry <= ms:
+		return outcome.Unknown{Reason: outcome.KeyExpired}
+	case k.Expiry > ms+MaxAhead.Milliseconds():
+		return refusal
+	}
+	s := l.shard(k)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(l, ms)
+	w, i := window(k), identify(k)
+	if r, ok := s.windows[w][i]; ok {
+		if earlier, refused := r.state.(outcome.NotRun); refused {
+			return earlier
+		}
+		return outcome.Unknown{Reason: outcome.KeyUsed, Detail: string(refusal.Reason)}
+	}
+	if !l.add(s, w, i, record{state: outcome.Outcome(refusal)}) {
+		return outcome.Unknown{Reason: outcome.LedgerFull, Detail: string(refusal.Reason)}
+	}
+	return refusal
+}
+
+// add records a new key of the shard, which the caller has locked, and returns false if the ledger is full.
+func (l *Ledger) add(s *shard, w int64, i id, r record) bool {
 	if l.keys.Add(1) > l.limit {
 		l.keys.Add(-1)
-		return Refused{outcome.LedgerFull}
+		return false
 	}
 	if s.windows[w] == nil {
 		s.windows[w] = make(map[id]record)
 	}
-	s.windows[w][i] = record{fingerprint: fingerprint}
-	return Started{}
+	s.windows[w][i] = r
+	return true
 }
 
 // Finish records the outcome of the started request and wakes those that wait for it. A second call for the key is
--- a/metric/class.go
+++ b/metric/class.go
@@ -33,7 +33,7 @@
 	}
 	unknownReasons = []outcome.Reason{
 		outcome.Timeout, outcome.ConnectionLost, outcome.Truncated, outcome.Mismatched, outcome.KeyExpired,
-		outcome.HomeGone, outcome.AnswerNotKept,
+		outcome.HomeGone, outcome.KeyUsed, outcome.AnswerNotKept, outcome.LedgerFull,
 	}
 )
 
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -52,6 +52,8 @@
 	KeyExpired Reason = "key-expired"
 	// HomeGone marks a key whose incarnation is no longer reachable.
 	HomeGone Reason = "home-gone"
+	// KeyUsed marks a refused request whose key an earlier request used, which may have run.
+	KeyUsed Reason = "key-used"
 	// AnswerNotKept marks a repeated key whose request was answered with an answer too large to keep.
 	AnswerNotKept Reason = "answer-not-kept"
 )
--- a/route/router.go
+++ b/route/router.go
@@ -92,7 +92,7 @@
 
 func (r *Router) admit(ctx context.Context, req *request.Request) outcome.Outcome {
 	if reason := r.config.Admit(); reason != "" {
-		return outcome.NotRun{Reason: reason}
+		return r.Refuse(req.Key, outcome.NotRun{Reason: reason})
 	}
 	if req.Idempotent {
 		return r.toHome(ctx, req)
@@ -107,6 +107,20 @@
 	return r.toIncarnation(ctx, k, req)
 }
 
+// Refuse returns what the caller of a refused request may be told. "Not run" is not true of a repeated key whose first
+// request may have run, here or at another incarnation; a request without a key is idempotent or bad.
+func (r *Router) Refuse(keyText string, refusal outcome.NotRun) outcome.Outcome {
+	if keyText == "" {
+		return refusal
+	}
+	k, err := key.Parse(keyText)
+	if err != nil {
+		// No entry VM starts a request with a malformed key.
+		return refusal
+	}
+	return r.config.Ledger.Refuse(k, refusal, time.Now())
+}
+
 // Serve runs a request that another entry VM sent, and returns the outcome with the load of the group.
 func (r *Router) Serve(ctx context.Context, m *peerpb.RunRequest) (*peerpb.RunResponse, error) {
 	now := time.Now()
@@ -118,8 +132,7 @@
 	if refusal := describe(p, req); refusal != nil {
 		if m.GetMode() == peerpb.RunRequest_MODE_KEY {
 			// This process may have replaced the one that ran the key, or the configuration may have changed since.
-			unknown := outcome.Unknown{Reason: outcome.HomeGone, Detail: string(refusal.Reason)}
-			return peer.EncodeOutcome(req.ID, unknown, 0, 0), nil
+			return peer.EncodeOutcome(req.ID, r.Refuse(req.Key, *refusal), 0, 0), nil
 		}
 		return peer.EncodeOutcome(req.ID, *refusal, 0, 0), nil
 	}
@@ -144,8 +157,7 @@
 
 func (r *Router) serveKey(ctx context.Context, req *request.Request) outcome.Outcome {
 	if reason := r.config.Admit(); reason != "" {
-		// A first use of the key is refused, but an earlier one may have run.
-		return outcome.Unknown{Reason: outcome.HomeGone, Detail: string(reason)}
+		return r.Refuse(req.Key, outcome.NotRun{Reason: reason})
 	}
 	k, err := key.Parse(req.Key)
 	if err != nil {
