--- a/probe/prober.go
+++ b/probe/prober.go
@@ -41,8 +41,11 @@
 }
 
 const (
-	// tick is below half a slot, which is at least 50 ms for 20 VMs where slots are used.
-	tick = 20 * time.Millisecond
+	// leastTick and mostTick bound the time between two rounds. Each round wakes the process, which costs more than the
+	// round itself.
+	leastTick, mostTick = 20 * time.Millisecond, 250 * time.Millisecond
+	// ticksPerHalf is the number of rounds in the half of a slot that may be used, so that none is missed.
+	ticksPerHalf = 3
 	// checkTimeout bounds one probe, whose cost is about 6 ms.
 	checkTimeout = time.Second
 )
@@ -85,21 +88,32 @@
 }
 
 func (p *Prober) run(ctx context.Context) {
-	t := time.NewTicker(tick)
+	t := time.NewTimer(mostTick)
 	defer t.Stop()
 	for {
 		select {
 		case <-t.C:
-			p.round(ctx)
+			t.Reset(p.round(ctx))
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// round starts the probes that are granted now. The time is read after the targets are known, so that a pause before
+// interval returns the time until the next round, which is short enough for the shortest half slot of the targets.
+func interval(targets []Target) time.Duration {
+	next := mostTick
+	for _, t := range targets {
+		if t.PerSecond > 0 {
+			next = min(next, time.Duration(float64(time.Second)/t.PerSecond/ticksPerHalf))
+		}
+	}
+	return max(next, leastTick)
+}
+
+// round starts the probes that are granted now and returns the time until the next round. The time is read after the targets are known, so that a pause before
 // doesn't spend an old slot.
-func (p *Prober) round(ctx context.Context) {
+func (p *Prober) round(ctx context.Context) time.Duration {
 	targets := p.options.Targets(time.Now())
 	fleet := p.options.Fleet()
 	// Each new list is gone through whole, so that new shares begin in time. After that only the targets in whose slots
@@ -114,6 +128,7 @@
 			p.checks.Go(func() { p.check(ctx, t, s) })
 		}
 	}
+	return interval(targets)
 }
 
 // isSame tells whether both are one list.
