Share the starting of programs between demo and measurement

Cause: cmd/measure-added held a copy of the demo's 90 lines that start programs. Ruled out: nothing; both copies were the same but for the prefix of their errors. Change: package standin/program.

--- a/cmd/demo/fleet.go
+++ b/cmd/demo/fleet.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -13,6 +12,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/fulmarhitch/fulmarhitch/standin/program"
 )
 
 // service is one service of the demo.
@@ -42,22 +43,22 @@
 // fleet is the processes of the demo.
 type fleet struct {
 	folder    string
-	platform  *process
-	entries   []*process
-	upstreams map[string][]*process
+	platform  *program.Program
+	entries   []*program.Program
+	upstreams map[string][]*program.Program
 }
 
 // newFleet starts the platform, the upstreams and the entry VMs, and brings the configuration into force.
 func newFleet(bin, folder string) (*fleet, error) {
-	f := &fleet{folder: folder, upstreams: make(map[string][]*process)}
+	f := &fleet{folder: folder, upstreams: make(map[string][]*program.Program)}
 	var err error
-	if f.platform, err = start(bin, folder, "platform", "standin-platform", "--vm-list-lag", "1s"); err != nil {
+	if f.platform, err = program.Start(bin, folder, "platform", "standin-platform", "--vm-list-lag", "1s"); err != nil {
 		return nil, err
 	}
 	for _, s := range services {
 		for i, domain := range failureDomains {
 			name := fmt.Sprintf("%s-%d", s.name, i+1)
-			p, err := start(bin, folder, name+"-"+domain, "standin-upstream",
+			p, err := program.Start(bin, folder, name+"-"+domain, "standin-upstream",
 				"--slots", fmt.Sprint(s.slots), "--mean", s.mean.String(), "--seed", fmt.Sprint(i+1))
 			if err != nil {
 				return f, err
@@ -79,7 +80,7 @@
 		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 			return errors.Wrap(err, "demo")
 		}
-		p, err := start(bin, f.folder, name, "fulmarhitch", "run", "--settings", file)
+		p, err := program.Start(bin, f.folder, name, "fulmarhitch", "run", "--settings", file)
 		if err != nil {
 			return err
 		}
@@ -92,17 +93,17 @@
 }
 
 func (f *fleet) settings(name, domain string) (string, error) {
-	address, err := freeAddress()
+	address, err := program.FreeAddress()
 	if err != nil {
 		return "", err
 	}
-	peerAddress, err := freeAddress()
+	peerAddress, err := program.FreeAddress()
 	if err != nil {
 		return "", err
 	}
 	var peers []string
 	for _, p := range f.entries {
-		peers = append(peers, fmt.Sprintf("%q", p.peerAddress))
+		peers = append(peers, fmt.Sprintf("%q", p.PeerAddress))
 	}
 	return fmt.Sprintf(`name = %q
 failure-domain = %q
@@ -113,17 +114,7 @@
 peers = [%s]
 stop-timeout = "30s"
 log-level = "info"
-`, name, domain, address, peerAddress, f.platform.address, f.platform.address, strings.Join(peers, ", ")), nil
-}
-
-// freeAddress returns an address with a port that is free now.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "demo")
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+`, name, domain, address, peerAddress, f.platform.Address, f.platform.Address, strings.Join(peers, ", ")), nil
 }
 
 type vmWire struct {
@@ -139,19 +130,19 @@
 func (f *fleet) publishVMs() error {
 	var vms []vmWire
 	for i, p := range f.entries {
-		vms = append(vms, vmWire{Name: p.name, Address: p.address, PeerAddress: p.peerAddress,
+		vms = append(vms, vmWire{Name: p.Name, Address: p.Address, PeerAddress: p.PeerAddress,
 			FailureDomain: failureDomains[i%len(failureDomains)], Role: "entry", State: "live"})
 	}
 	body, err := json.Marshal(map[string]any{"vms": vms})
 	if err != nil {
 		return errors.Wrap(err, "demo")
 	}
-	return send(http.MethodPut, "http://"+f.platform.address+"/control/vms", body)
+	return send(http.MethodPut, "http://"+f.platform.Address+"/control/vms", body)
 }
 
 // submit brings the configuration into force through the first entry VM.
 func (f *fleet) submit() error {
-	url := "http://" + f.entries[0].address + "/v1/configuration?base=0&submission=demo-1"
+	url := "http://" + f.entries[0].Address + "/v1/configuration?base=0&submission=demo-1"
 	var err error
 	for range 20 {
 		if err = send(http.MethodPost, url, []byte(f.declaration())); err == nil {
@@ -174,7 +165,7 @@
 		fmt.Fprintf(&b, "\n[[service.kind]]\nname = %q\nclass = \"short\"\nidempotent = %t\nweight = 10\ntimeout = \"2s\"\n", s.kind, s.idempotent)
 		for i, p := range f.upstreams[s.name] {
 			fmt.Fprintf(&b, "\n[[service.upstream]]\nname = \"%s-%d\"\naddress = %q\nfailure-domain = %q\nslots = %d\n",
-				s.name, i+1, p.address, failureDomains[i], s.slots)
+				s.name, i+1, p.Address, failureDomains[i], s.slots)
 		}
 	}
 	return b.String()
@@ -183,14 +174,14 @@
 // stop ends all processes.
 func (f *fleet) stop() {
 	for _, p := range f.entries {
-		p.kill()
+		p.Kill()
 	}
 	for _, all := range f.upstreams {
 		for _, p := range all {
-			p.kill()
+			p.Kill()
 		}
 	}
-	f.platform.kill()
+	f.platform.Kill()
 }
 
 // send makes one HTTP request and returns an error unless its status is 2xx.
--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -69,7 +69,7 @@
 func (t *traffic) disturb(f *fleet, duration time.Duration, log *logrus.Logger) error {
 	var entries []string
 	for _, p := range f.entries {
-		entries = append(entries, p.address)
+		entries = append(entries, p.Address)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), duration)
 	defer cancel()
@@ -80,15 +80,15 @@
 		callers.Go(func() { t.run(ctx, c, s) })
 	}
 	time.Sleep(duration / 3)
-	log.WithField("entry-vm", f.entries[1].name).Info("killing an entry VM")
-	f.entries[1].kill()
+	log.WithField("entry-vm", f.entries[1].Name).Info("killing an entry VM")
+	f.entries[1].Kill()
 	time.Sleep(duration / 6)
 	drained := f.upstreams["lookups"][0]
-	log.WithField("upstream", drained.name).Info("draining an upstream")
-	err := send(http.MethodPost, "http://"+drained.address+"/control/drain", nil)
+	log.WithField("upstream", drained.Name).Info("draining an upstream")
+	err := send(http.MethodPost, "http://"+drained.Address+"/control/drain", nil)
 	time.Sleep(duration / 10)
-	log.WithField("entry-vm", f.entries[2].name).Info("stopping an entry VM as planned")
-	f.entries[2].stop(duration)
+	log.WithField("entry-vm", f.entries[2].Name).Info("stopping an entry VM as planned")
+	f.entries[2].Stop(duration)
 	callers.Wait()
 	return err
 }
--- a/cmd/demo/traffic.go
+++ b/cmd/demo/traffic.go
@@ -99,7 +99,7 @@
 	runs := make(map[string]int)
 	for _, all := range f.upstreams {
 		for _, p := range all {
-			if err := addRuns(runs, p.address); err != nil {
+			if err := addRuns(runs, p.Address); err != nil {
 				return 0, err
 			}
 		}
--- a/cmd/measure-added/fleet.go
+++ b/cmd/measure-added/fleet.go
@@ -4,13 +4,14 @@
 	"bytes"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/fulmarhitch/fulmarhitch/standin/program"
 )
 
 const (
@@ -25,17 +26,17 @@
 
 // fleet is the processes of the measurement.
 type fleet struct {
-	platform, upstream, entry *process
+	platform, upstream, entry *program.Program
 }
 
 // newFleet starts the processes and brings the configuration into force. The fleet has to be stopped after an error too.
 func newFleet(bin, folder, profile string) (*fleet, error) {
 	f := new(fleet)
 	var err error
-	if f.platform, err = start(bin, folder, "platform", "standin-platform"); err != nil {
+	if f.platform, err = program.Start(bin, folder, "platform", "standin-platform"); err != nil {
 		return f, err
 	}
-	f.upstream, err = start(bin, folder, "upstream", "standin-upstream", "--mean", "0s", "--slots", fmt.Sprint(slots),
+	f.upstream, err = program.Start(bin, folder, "upstream", "standin-upstream", "--mean", "0s", "--slots", fmt.Sprint(slots),
 		"--waiting", fmt.Sprint(slots), "--connection-cost", "0s", "--probe-cost", "0s")
 	if err != nil {
 		return f, err
@@ -51,12 +52,12 @@
 	var ports [2]string
 	for i := range ports {
 		var err error
-		if ports[i], err = freeAddress(); err != nil {
+		if ports[i], err = program.FreeAddress(); err != nil {
 			return err
 		}
 	}
 	text := fmt.Sprintf("name = \"entry\"\nfailure-domain = \"fd\"\naddress = %q\npeer-address = %q\nstore-address = %q\n"+
-		"vm-list-address = %q\nstop-timeout = \"5s\"\nlog-level = \"info\"\n", ports[0], ports[1], f.platform.address, f.platform.address)
+		"vm-list-address = %q\nstop-timeout = \"5s\"\nlog-level = \"info\"\n", ports[0], ports[1], f.platform.Address, f.platform.Address)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return errors.Wrap(err, "measure-added")
 	}
@@ -65,25 +66,16 @@
 		arguments = append(arguments, "--profile", profile)
 	}
 	var err error
-	f.entry, err = start(bin, folder, "entry", "fulmarhitch", arguments...)
+	f.entry, err = program.Start(bin, folder, "entry", "fulmarhitch", arguments...)
 	return err
 }
 
-// freeAddress returns an address with a port that is free now.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "measure-added")
-	}
-	return l.Addr().String(), l.Close()
-}
-
 // submit brings the configuration into force and waits until the entry VM serves it.
 func (f *fleet) submit() error {
 	text := fmt.Sprintf("max-entry-vms = 1\naddress-lifetime = %q\ntenants = [\"division\"]\n\n[[failure-domain]]\nname = \"fd\"\n"+
 		"region = \"r\"\n\n[[service]]\nname = %q\ntenant = \"division\"\nconnections = %d\n\n[[service.kind]]\nname = %q\n"+
 		"class = \"short\"\nidempotent = true\nweight = 10\ntimeout = \"1s\"\n\n[[service.upstream]]\nname = \"lookups-1\"\n"+
-		"address = %q\nfailure-domain = \"fd\"\nslots = %d\n", addressLifetime, serviceName, slots, kindName, f.upstream.address, slots)
+		"address = %q\nfailure-domain = \"fd\"\nslots = %d\n", addressLifetime, serviceName, slots, kindName, f.upstream.Address, slots)
 	var err error
 	for range 40 {
 		if err = f.post(text); err == nil {
@@ -101,7 +93,7 @@
 }
 
 func (f *fleet) post(text string) error {
-	url := "http://" + f.entry.address + "/v1/configuration?base=0&submission=added-1"
+	url := "http://" + f.entry.Address + "/v1/configuration?base=0&submission=added-1"
 	res, err := http.Post(url, "text/plain", bytes.NewReader([]byte(text)))
 	if err != nil {
 		return errors.Wrap(err, "measure-added")
@@ -111,7 +103,7 @@
 }
 
 func (f *fleet) get(path string) ([]byte, error) {
-	res, err := http.Get("http://" + f.entry.address + path)
+	res, err := http.Get("http://" + f.entry.Address + path)
 	if err != nil {
 		return nil, errors.Wrap(err, "measure-added")
 	}
@@ -130,9 +122,9 @@
 
 // stop ends the processes; the entry VM writes its profiles when it is asked to stop.
 func (f *fleet) stop() {
-	for _, p := range []*process{f.entry, f.upstream, f.platform} {
+	for _, p := range []*program.Program{f.entry, f.upstream, f.platform} {
 		if p != nil {
-			p.stop(stopTimeout)
+			p.Stop(stopTimeout)
 		}
 	}
 }
--- a/cmd/measure-added/main.go
+++ b/cmd/measure-added/main.go
@@ -75,7 +75,7 @@
 // measure makes one run and returns its line.
 func measure(f *fleet, rate float64, duration time.Duration) (string, error) {
 	l, err := load.New(load.Config{
-		Entries: []string{f.entry.address}, Direct: f.upstream.address, Rate: rate, Duration: duration, Seed: 1, Path: "load",
+		Entries: []string{f.entry.Address}, Direct: f.upstream.Address, Rate: rate, Duration: duration, Seed: 1, Path: "load",
 		Mix: []load.Share{{Service: serviceName, Kind: kindName, Idempotent: true, Weight: 1, Timeout: callTimeout}},
 	})
 	if err != nil {
--- a/cmd/measure-added/process.go
+++ b/standin/program/program.go
@@ -1,9 +1,10 @@
-package main
+package program
 
 import (
 	"bufio"
 	"encoding/json"
 	"io"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -16,12 +17,16 @@
 // startTimeout bounds the time until a process logs its address.
 const startTimeout = 10 * time.Second
 
-// process is one started program.
-type process struct {
-	name        string
-	address     string
-	peerAddress string
-	command     *exec.Cmd
+// Program is one started program.
+type Program struct {
+	// Name is the name that the starter gave it.
+	Name string
+	// Address and PeerAddress are the IP addresses and ports that it logged; PeerAddress may be empty.
+	Address, PeerAddress string
+	// PID is the identifier of the process.
+	PID int
+
+	command *exec.Cmd
 }
 
 // startLine is the log line of a program that listens.
@@ -30,11 +35,11 @@
 	PeerAddress string `json:"peer-address"`
 }
 
-// start runs a program of the folder bin, with its log in a file of the folder logs, and waits for its address.
-func start(bin, logs, name, program string, arguments ...string) (*process, error) {
+// Start runs a program of the folder bin, with its log in a file of the folder logs, and waits for its address.
+func Start(bin, logs, name, program string, arguments ...string) (*Program, error) {
 	file, err := os.Create(filepath.Join(logs, name+".log"))
 	if err != nil {
-		return nil, errors.Wrap(err, "measure-added")
+		return nil, errors.Wrap(err, "program")
 	}
 	reader, writer := io.Pipe()
 	command := exec.Command(filepath.Join(bin, program), arguments...)
@@ -43,16 +48,16 @@
 	// The kernel ends the programs if the demo itself is killed.
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
-		return nil, errors.Wrapf(err, "measure-added: start %s", name)
+		return nil, errors.Wrapf(err, "program: start %s", name)
 	}
 	found := make(chan startLine, 1)
 	go scan(reader, found)
 	select {
 	case line := <-found:
-		return &process{name: name, address: line.Address, peerAddress: line.PeerAddress, command: command}, nil
+		return &Program{Name: name, Address: line.Address, PeerAddress: line.PeerAddress, PID: command.Process.Pid, command: command}, nil
 	case <-time.After(startTimeout):
 		_ = command.Process.Kill()
-		return nil, errors.Newf("measure-added: %s logged no address within %s; see %s", name, startTimeout, file.Name())
+		return nil, errors.Newf("program: %s logged no address within %s; see %s", name, startTimeout, file.Name())
 	}
 }
 
@@ -70,13 +75,13 @@
 	_, _ = io.Copy(io.Discard, r)
 }
 
-// kill ends the process without notice.
-func (p *process) kill() {
+// Kill ends the process without notice.
+func (p *Program) Kill() {
 	_ = p.command.Process.Kill()
 }
 
-// stop asks the process to end and kills it if it has not ended after the timeout.
-func (p *process) stop(timeout time.Duration) {
+// Stop asks the process to end and kills it if it has not ended after the timeout.
+func (p *Program) Stop(timeout time.Duration) {
 	_ = p.command.Process.Signal(syscall.SIGTERM)
 	ended := make(chan struct{})
 	go func() {
@@ -86,7 +91,17 @@
 	select {
 	case <-ended:
 	case <-time.After(timeout):
-		p.kill()
+		p.Kill()
 		<-ended
 	}
 }
+
+// FreeAddress returns a loopback address with a port that is free now. Another process may take it before it is used.
+func FreeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "program: free address")
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String(), nil
+}
