--- a/cmd/standin-upstream/main.go
+++ b/cmd/standin-upstream/main.go
@@ -1,6 +1,3 @@
-// Command standin-upstream runs a stand-in of one upstream instance.
-//
-// It logs one JSON line with its address when it listens and exits with status 3 on a crash request.
 package main
 
 import (
--- a/entry/probe.go
+++ b/entry/probe.go
@@ -12,6 +12,7 @@
 	"github.com/fulmarhitch/fulmarhitch/member"
 	"github.com/fulmarhitch/fulmarhitch/planner"
 	"github.com/fulmarhitch/fulmarhitch/probe"
+	"github.com/fulmarhitch/fulmarhitch/route"
 	"github.com/fulmarhitch/fulmarhitch/upstream"
 )
 
@@ -75,15 +76,7 @@
 func (e *Entry) probed(t probe.Target, state string, err error) {
 	observed := upstream.Failing
 	if err == nil {
-		switch exchange.State(state) {
-		case exchange.Ready:
-			observed = upstream.Ready
-		case exchange.Cold:
-			observed = upstream.Cold
-		case exchange.Draining:
-			observed = upstream.Draining
-		case exchange.Failing:
-		}
+		observed = route.StateOf(exchange.State(state))
 	}
 	e.observed(t.Service, t.Upstream, observed, group.Probe, time.Now())
 }
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -115,7 +115,7 @@
 	now := time.Now()
 	a.away += now.Sub(began)
 	a.dispatcher.Release(b, dispatch.Result{
-		Class: classOf(res), State: stateOf(res.State), ServiceTime: now.Sub(began),
+		Class: classOf(res), State: StateOf(res.State), ServiceTime: now.Sub(began),
 		Load: dispatch.Load(res.Load),
 	})
 	a.observe(b.Upstream.Name, res, now)
@@ -142,7 +142,7 @@
 		c.Suspects.Died(a.fingerprint, a.request.Service, name, now)
 		a.ticket.Suspect = true
 	}
-	if state := stateOf(res.State); state != upstream.Unstated {
+	if state := StateOf(res.State); state != upstream.Unstated {
 		c.Observed(a.request.Service, name, state, now)
 	}
 }
@@ -258,8 +258,8 @@
 	}
 }
 
-// stateOf returns the state that a response states.
-func stateOf(s exchange.State) upstream.State {
+// StateOf returns the state that a response or a health endpoint states.
+func StateOf(s exchange.State) upstream.State {
 	switch s {
 	case exchange.Ready:
 		return upstream.Ready
