Guard the test network's random numbers

Cause: the race detector found that the test network draws an incarnation without its lock while VMs run (TestConfirm). Ruled out: a race in the product; all three reports are in network.add. Change: the lock is held for the draw.

--- a/gossip/network_test.go
+++ b/gossip/network_test.go
@@ -53,10 +53,13 @@
 
 func (n *network) add(i int) *vm {
 	name := fmt.Sprintf("e%03d", i)
+	n.mu.Lock()
 	n.serial++
+	incarnation := n.rnd.Uint64()
+	n.mu.Unlock()
 	v := &vm{net: n, name: name, address: fmt.Sprintf("127.0.%d.%d:7000", i/250, i%250+1)}
 	self := member.Member{
-		Name: name, Incarnation: fmt.Sprintf("%016x", n.rnd.Uint64()), FailureDomain: fmt.Sprintf("d%d", i%3),
+		Name: name, Incarnation: fmt.Sprintf("%016x", incarnation), FailureDomain: fmt.Sprintf("d%d", i%3),
 		Address: fmt.Sprintf("127.0.%d.%d:8000", i/250, i%250+1), PeerAddress: v.address,
 	}
 	o := gossip.DefaultOptions()
