group: remove the unused list of leaving upstreams

Cause: Registry.Leaving had no caller left; the plan and the dispatchers hold what it told. Ruled out: using it in status; the dispatchers' loads show the effect already. Change: the method is gone; behaviour is the same. Measured: nothing is measured; vet, staticcheck and the tests of group, route and planner pass.

--- a/group/health.go
+++ b/group/health.go
@@ -113,19 +113,6 @@
 	h.answered = now
 }
 
-// Leaving returns the upstreams of the service that peers or responses reported as draining.
-func (r *Registry) Leaving(service string) []string {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	var names []string
-	for k, h := range r.health {
-		if k.service == service && h.state == upstream.Draining {
-			names = append(names, k.upstream)
-		}
-	}
-	return names
-}
-
 // ProbeWanted tells whether this VM should spend a probe on the upstream of the group: if it is home of the group and
 // the upstream is idle, and at every VM if the upstream is known to be in another state than ready.
 func (r *Registry) ProbeWanted(g *plan.Group, u declaration.Upstream, now time.Time) bool {
