--- a/budget/budget.go
+++ b/budget/budget.go
@@ -6,16 +6,22 @@
 
 // Budget counts tokens for retries: each offered request adds the ratio, each retry takes one.
 type Budget struct {
-	ratio, tokens float64
+	ratio, burst, tokens float64
 }
 
 // New returns an empty budget with the ratio of retries to offered requests, limited to 0 to 0.2.
 func New(ratio float64) *Budget {
-	b := &Budget{}
+	b := &Budget{burst: Burst}
 	b.SetRatio(ratio)
 	return b
 }
 
+// SetBurst changes the largest number of retries that the budget saves up.
+func (b *Budget) SetBurst(burst float64) {
+	b.burst = burst
+	b.tokens = min(b.tokens, burst)
+}
+
 // SetRatio changes the ratio and keeps the tokens.
 func (b *Budget) SetRatio(ratio float64) {
 	b.ratio = min(max(ratio, 0), 0.2)
@@ -23,7 +29,12 @@
 
 // Offer counts a request that is not a retry.
 func (b *Budget) Offer() {
-	b.tokens = min(b.tokens+b.ratio, Burst)
+	b.tokens = min(b.tokens+b.ratio, b.burst)
+}
+
+// Tokens returns the number of retries that the budget covers at present.
+func (b *Budget) Tokens() float64 {
+	return b.tokens
 }
 
 // Take pays for a retry and returns false if the budget does not cover it.
--- a/cmd/fulmarhitch/main.go
+++ b/cmd/fulmarhitch/main.go
@@ -17,12 +17,13 @@
 )
 
 type commands struct {
-	Run    runCommand    `cmd:"" help:"Run an entry VM's process."`
-	Check  checkCommand  `cmd:"" help:"Check an operators' file and print all findings."`
-	Submit submitCommand `cmd:"" help:"Submit an operators' file."`
-	Show   showCommand   `cmd:"" help:"Show the configuration in force."`
-	Status statusCommand `cmd:"" help:"Show the status of an entry VM."`
-	Call   callCommand   `cmd:"" help:"Send one call to a service."`
+	Run     runCommand     `cmd:"" help:"Run an entry VM's process."`
+	Gateway gatewayCommand `cmd:"" help:"Run an entry VM's process for plain HTTP callers, with the rules in the platform's store."`
+	Check   checkCommand   `cmd:"" help:"Check an operators' file and print all findings."`
+	Submit  submitCommand  `cmd:"" help:"Submit an operators' file."`
+	Show    showCommand    `cmd:"" help:"Show the configuration in force."`
+	Status  statusCommand  `cmd:"" help:"Show the status of an entry VM."`
+	Call    callCommand    `cmd:"" help:"Send one call to a service."`
 }
 
 // output is where commands write.
--- /dev/null
+++ b/directory/doc.go
@@ -0,0 +1,2 @@
+// Package directory decides which VMs a caller is told to connect to.
+package directory
--- a/entry/duty.go
+++ b/entry/duty.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"github.com/fulmarhitch/fulmarhitch/group"
+	"github.com/fulmarhitch/fulmarhitch/kernel"
 	"github.com/fulmarhitch/fulmarhitch/member"
 	"github.com/fulmarhitch/fulmarhitch/planner"
 	"github.com/fulmarhitch/fulmarhitch/ring"
@@ -26,43 +26,17 @@
 	e.kernel.Register("groups", e.groups)
 	e.kernel.Register("peer-server", e.peerEnd)
 	e.kernel.Register("gossip", e.gossip)
-	e.kernel.Register("vm-list", newDuty(e.watchVMs))
+	e.kernel.Register("vm-list", kernel.NewDuty(e.watchVMs))
 	e.kernel.Register("reader", e.reader)
 	e.kernel.Register("planner", planner.New(planner.Config{
 		Self: e.self, Holder: e.holder, Gossip: e.gossip, Groups: e.groups, Metrics: e.metrics,
 		Gone: e.peers.Forget, Apply: e.router.SetPlan, Suspect: e.suspects.Take, Announced: announced, Log: e.log,
 	}))
 	e.kernel.Register("prober", e.newProber())
-	e.kernel.Register("housekeeping", newDuty(e.keepHouse))
+	e.kernel.Register("housekeeping", kernel.NewDuty(e.keepHouse))
 	e.kernel.Register("front", e.front)
 }
 
-// duty is a kernel service that is one goroutine.
-type duty struct {
-	run    func(context.Context)
-	cancel context.CancelFunc
-	ended  sync.WaitGroup
-}
-
-func newDuty(run func(context.Context)) *duty {
-	return &duty{run: run}
-}
-
-// Start begins the duty.
-func (d *duty) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	d.cancel = cancel
-	d.ended.Go(func() { d.run(ctx) })
-	return nil
-}
-
-// Stop ends the duty and waits for it.
-func (d *duty) Stop(context.Context) error {
-	d.cancel()
-	d.ended.Wait()
-	return nil
-}
-
 // watchVMs reads the VM list once at the start and then for as long as this VM is a reader.
 func (e *Entry) watchVMs(ctx context.Context) {
 	for read := false; ; {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/fulmarhitch/fulmarhitch/kernel"
 	"github.com/fulmarhitch/fulmarhitch/key"
 	"github.com/fulmarhitch/fulmarhitch/ledger"
+	"github.com/fulmarhitch/fulmarhitch/logbook"
 	"github.com/fulmarhitch/fulmarhitch/member"
 	"github.com/fulmarhitch/fulmarhitch/metric"
 	"github.com/fulmarhitch/fulmarhitch/peer"
@@ -194,7 +195,7 @@
 // Run runs the process until it is told to stop by SIGTERM or SIGINT, or until a service fails.
 func (e *Entry) Run() error {
 	app := kratos.New(
-		kratos.ID(e.self.Incarnation), kratos.Name("fulmarhitch"), kratos.Logger(frameLogger{e.log}),
+		kratos.ID(e.self.Incarnation), kratos.Name("fulmarhitch"), kratos.Logger(logbook.Frame{Entry: e.log}),
 		kratos.Server(e.kernel), kratos.Signal(syscall.SIGTERM, os.Interrupt),
 		kratos.StopTimeout(e.settings.StopTimeout), kratos.BeforeStop(e.Drain),
 	)
--- a/exchange/answer.go
+++ b/exchange/answer.go
@@ -32,15 +32,19 @@
 		}
 		return a.lost(ctx, outcome.Truncated, Truncated, err)
 	}
-	res := report(resp.Header)
-	reason, refused := refusal(resp)
+	if a.echo && a.dialect.Foreign(resp) {
+		return unknown(Mismatched, outcome.Mismatched, "answer is not the upstream's own")
+	}
+	var res Result
+	a.dialect.Report(resp.Header, &res)
+	reason, refused := a.dialect.Refusal(resp)
 	if refused {
 		res.Class = Refused
 		res.Outcome = outcome.NotRun{Reason: reason}
 		return res
 	}
 	res.Class = Answered
-	res.Outcome = outcome.Answered{Status: resp.StatusCode, Header: header.EndToEnd(resp.Header), Body: content}
+	res.Outcome = outcome.Answered{Status: resp.StatusCode, Header: a.dialect.EndToEnd(resp.Header), Body: content}
 	return res
 }
 
@@ -49,13 +53,19 @@
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		return false
 	}
-	ids := resp.Header[header.RequestID]
+	ids := resp.Header[a.dialect.RequestID]
 	if !a.echo && len(ids) == 0 {
 		return true
 	}
 	return len(ids) == 1 && ids[0] == a.request.ID
 }
 
+// isStray tells whether the answer names another request, so that the own one may follow.
+func (a *attempt) isStray(resp *http.Response) bool {
+	ids := resp.Header[a.dialect.RequestID]
+	return len(ids) == 1 && ids[0] != a.request.ID
+}
+
 // read returns the whole body, or an error if it is cut, too large or without a marked end.
 func (a *attempt) read(resp *http.Response) ([]byte, error) {
 	length := resp.ContentLength
@@ -68,7 +78,7 @@
 		content := make([]byte, length)
 		_, err := io.ReadFull(resp.Body, content)
 		return content, err
-	case len(resp.TransferEncoding) == 0:
+	case len(resp.TransferEncoding) == 0 && !a.dialect.Unframed:
 		return nil, errUnmarked
 	}
 	content, err := io.ReadAll(io.LimitReader(resp.Body, int64(a.limit)+1))
@@ -79,8 +89,7 @@
 }
 
 // report reads the load and the state from the headers.
-func report(h http.Header) Result {
-	var res Result
+func report(h http.Header, res *Result) {
 	if v := h[header.Load]; len(v) == 1 {
 		res.Load, res.HasLoad = ParseLoad(v[0])
 	}
@@ -90,7 +99,6 @@
 	if res.State == "" && h.Get(header.Refused) == string(Draining) {
 		res.State = Draining
 	}
-	return res
 }
 
 // refusal tells whether the upstream says by its contract that it refused before running. Other values of the header are
--- a/exchange/attempt.go
+++ b/exchange/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/net/http/httpguts"
 
+	"github.com/fulmarhitch/fulmarhitch/declaration"
 	"github.com/fulmarhitch/fulmarhitch/outcome"
 	"github.com/fulmarhitch/fulmarhitch/request"
 )
@@ -27,11 +28,12 @@
 
 // attempt sends a request over one connection.
 type attempt struct {
-	link    *link
-	request *request.Request
-	address string
-	limit   int
-	echo    bool
+	link     *link
+	dialect  *Dialect
+	request  *request.Request
+	upstream declaration.Upstream
+	limit    int
+	echo     bool
 
 	conn   *conn
 	reused bool
@@ -44,7 +46,7 @@
 	if err != nil {
 		return unsent(outcome.BadRequest, err.Error()), false
 	}
-	if a.conn, a.reused, err = a.link.get(ctx, a.address); err != nil {
+	if a.conn, a.reused, err = a.link.get(ctx, a.upstream.Address); err != nil {
 		return a.failed(ctx, err)
 	}
 	a.conn.arm(a.request.Deadline)
@@ -58,7 +60,7 @@
 	}
 	res = a.answered(ctx, resp)
 	if stop() && written() && !resp.Close && c.in.Buffered() == 0 && !c.isSealed() {
-		a.link.put(c)
+		a.link.put(c, idleTime(resp.Header))
 	} else {
 		_ = c.Close()
 	}
@@ -71,13 +73,13 @@
 		if err := a.conn.send(h); err != nil {
 			return nil, nil, err
 		}
-		resp, err = a.conn.receive(h)
+		resp, err = a.receive(h)
 		return resp, func() bool { return true }, err
 	}
 	sent := make(chan error, 1)
 	c := a.conn
 	go func() { sent <- c.send(h) }()
-	resp, err = c.receive(h)
+	resp, err = a.receive(h)
 	return resp, func() bool {
 		select {
 		case err := <-sent:
@@ -88,13 +90,32 @@
 	}, err
 }
 
+// receive reads the headers of the answer; answers to other requests before it are read and dropped.
+func (a *attempt) receive(h *http.Request) (*http.Response, error) {
+	for strays := 0; ; strays++ {
+		resp, err := a.conn.receive(h)
+		if err != nil || strays == a.dialect.Strays || !a.isStray(resp) {
+			return resp, err
+		}
+		_, err = a.read(resp)
+		_ = resp.Body.Close()
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
 // http returns the request as the HTTP library takes it, with the path as it came, or an error if a part of it can't be
 // sent.
 func (a *attempt) http() (*http.Request, error) {
 	r := a.request
 	h := &http.Request{
-		Method: r.Method, Host: a.address, ContentLength: int64(len(r.Body)), Header: forward(r, time.Now()),
-		URL: &url.URL{Scheme: "http", Host: a.address, Opaque: target(r)},
+		Method: r.Method, Host: a.upstream.Address, ContentLength: int64(len(r.Body)),
+		Header: a.dialect.forward(r, a.upstream, time.Now()),
+		URL:    &url.URL{Scheme: "http", Host: a.upstream.Address, Opaque: a.dialect.target(r)},
+	}
+	if a.dialect.Verbatim && r.Host != "" {
+		h.Host = r.Host
 	}
 	if !httpguts.ValidHeaderFieldName(r.Method) {
 		return nil, errors.Newf("method %q is invalid", r.Method)
@@ -141,7 +162,7 @@
 		return unknown(TimedOut, outcome.Timeout, "no answer by the deadline")
 	case ctx.Err() != nil:
 		return unknown(Cancelled, outcome.Cancelled, "cancelled after sending")
-	case a.link.refuses(a.address):
+	case a.link.refuses(a.upstream.Address):
 		return unknown(Died, reason, err.Error())
 	default:
 		return unknown(class, reason, err.Error())
--- a/exchange/exchanger.go
+++ b/exchange/exchanger.go
@@ -16,6 +16,7 @@
 // Exchanger sends requests to upstreams and keeps the connections to them.
 type Exchanger struct {
 	connections func(service string) int
+	dialect     *Dialect
 
 	mu    sync.RWMutex
 	links map[string]*link
@@ -34,7 +35,12 @@
 // New returns an exchanger that opens at most connections(service) connections to each upstream of the service. The
 // function is called for each request; a result below 1 forbids connections.
 func New(connections func(service string) int) *Exchanger {
-	return &Exchanger{connections: connections, links: make(map[string]*link)}
+	return NewWithDialect(connections, native)
+}
+
+// NewWithDialect returns an exchanger like New for upstreams that speak another dialect.
+func NewWithDialect(connections func(service string) int, d Dialect) *Exchanger {
+	return &Exchanger{connections: connections, dialect: &d, links: make(map[string]*link)}
 }
 
 // Do sends the request to the upstream at most once and returns what became of it. A body of more than maxAnswer bytes
@@ -60,6 +66,11 @@
 	return ParseHealth(a.Body)
 }
 
+// Ask sends the request, which carries no identifier that an answer would echo, and returns what became of it.
+func (e *Exchanger) Ask(ctx context.Context, r *request.Request, up declaration.Upstream) Result {
+	return e.do(ctx, r, up, maxHealth, false)
+}
+
 // Close closes the idle connections; those in use close when their requests end.
 func (e *Exchanger) Close() {
 	e.mu.Lock()
@@ -73,7 +84,7 @@
 	if !time.Now().Before(r.Deadline) {
 		return unsent(outcome.DeadlineUnreachable, "deadline has passed")
 	}
-	if f := fault(r); f != "" {
+	if f := e.dialect.fault(r, echo); f != "" {
 		return unsent(outcome.BadRequest, f)
 	}
 	share := e.connections(r.Service)
@@ -88,7 +99,7 @@
 	}
 	l := e.link(r.Service)
 	l.use(share)
-	a := attempt{link: l, request: r, address: up.Address, limit: limit, echo: echo}
+	a := attempt{link: l, dialect: e.dialect, request: r, upstream: up, limit: limit, echo: echo}
 	for try := 1; ; try++ {
 		res, stale := a.run(ctx)
 		if !stale || try == maxTries {
--- a/exchange/header.go
+++ b/exchange/header.go
@@ -3,22 +3,39 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
-	"github.com/fulmarhitch/fulmarhitch/header"
+	"github.com/fulmarhitch/fulmarhitch/declaration"
 	"github.com/fulmarhitch/fulmarhitch/request"
 )
 
 // forward returns the headers for the upstream: the caller's end-to-end headers and those of the protocol.
-func forward(r *request.Request, now time.Time) http.Header {
-	h := header.EndToEnd(r.Header)
+func (d *Dialect) forward(r *request.Request, up declaration.Upstream, now time.Time) http.Header {
+	h := d.EndToEnd(r.Header)
 	// An empty entry keeps the HTTP library from adding its own name.
 	if _, ok := h["User-Agent"]; !ok {
 		h["User-Agent"] = nil
 	}
 	// The time left is rounded up, because 0 means that the deadline has passed.
 	left := (r.Deadline.Sub(now) + time.Millisecond - 1) / time.Millisecond
-	v := [...]string{r.ID, strconv.FormatInt(int64(left), 10), strconv.Itoa(r.Depth)}
-	h[header.RequestID], h[header.Deadline], h[header.Depth] = v[0:1:1], v[1:2:2], v[2:3:3]
+	v := [...]string{r.ID, strconv.FormatInt(int64(left), 10), strconv.Itoa(r.Depth), up.Name}
+	for i, name := range [...]string{d.RequestID, d.Deadline, d.Depth, d.Expect} {
+		if name != "" && v[i] != "" {
+			h[name] = v[i : i+1 : i+1]
+		}
+	}
 	return h
 }
+
+// idleTime returns how long the connection of an answer may stay idle by the upstream's word, or 0 if it says nothing.
+func idleTime(h http.Header) time.Duration {
+	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if seconds, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") && seconds >= 0 {
+			// The upstream counts from the time it sent the answer.
+			return max(time.Duration(seconds)*time.Second-keepAliveMargin, time.Millisecond)
+		}
+	}
+	return 0
+}
--- a/exchange/link.go
+++ b/exchange/link.go
@@ -18,6 +18,8 @@
 	// idleTimeout is below the 60 s after which servers commonly close idle connections, so that a request rarely
 	// meets a connection that is being closed.
 	idleTimeout = 30 * time.Second
+	// keepAliveMargin is kept from the idle time that an upstream states, which it rounds to whole seconds.
+	keepAliveMargin = 1500 * time.Millisecond
 	// checkTimeout and checkPause bound the check whether an upstream has died; the pause lets a process that is
 	// ending close its listener too.
 	checkTimeout = 100 * time.Millisecond
@@ -147,7 +149,10 @@
 }
 
 // put keeps a connection for the next request.
-func (l *link) put(c *conn) {
+func (l *link) put(c *conn, idle time.Duration) {
+	if idle == 0 || idle > idleTimeout {
+		idle = idleTimeout
+	}
 	l.mu.Lock()
 	if l.closed || l.open[c.address] > l.share {
 		l.mu.Unlock()
@@ -156,9 +161,9 @@
 	}
 	l.idle[c.address] = append(l.idle[c.address], c)
 	if c.expiry == nil {
-		c.expiry = time.AfterFunc(idleTimeout, func() { l.expire(c) })
+		c.expiry = time.AfterFunc(idle, func() { l.expire(c) })
 	} else {
-		c.expiry.Reset(idleTimeout)
+		c.expiry.Reset(idle)
 	}
 	if l.waiting > 0 {
 		l.wake()
--- a/exchange/load.go
+++ b/exchange/load.go
@@ -11,6 +11,8 @@
 // Load is the load that an upstream reports: requests that run and wait, and slots.
 type Load struct {
 	Running, Waiting, Slots int
+	// Slowdown is the time that work takes at present as a multiple of the usual time, or 0 if it is not stated.
+	Slowdown float64
 }
 
 // State is the state that an upstream reports.
--- a/exchange/result.go
+++ b/exchange/result.go
@@ -40,6 +40,8 @@
 	HasLoad bool
 	// State is the state that the upstream reported, or empty.
 	State State
+	// Upstream is the identifier that the upstream reported of itself, or empty.
+	Upstream string
 }
 
 func unsent(reason outcome.Reason, detail string) Result {
--- a/exchange/target.go
+++ b/exchange/target.go
@@ -20,12 +20,8 @@
 	case r.Kind == "" || strings.ContainsAny(r.Kind, "/?#%"):
 		return "kind is empty or has a reserved character"
 	}
-	for _, part := range []string{r.Kind, r.Path} {
-		for i := range len(part) {
-			if c := part[i]; c <= ' ' || c == 0x7f || c == '#' {
-				return "path has a space, a control character or a fragment"
-			}
-		}
+	if !isPrintable(r.Kind) || !isPrintable(r.Path) {
+		return "path has a space, a control character or a fragment"
 	}
 	if hasDots(r.Kind) || hasDots(r.Path) {
 		return "path has a dot segment"
@@ -33,6 +29,16 @@
 	return ""
 }
 
+// isPrintable tells whether a part of a target can be written to a request line.
+func isPrintable(part string) bool {
+	for i := range len(part) {
+		if c := part[i]; c <= ' ' || c == 0x7f || c == '#' {
+			return false
+		}
+	}
+	return true
+}
+
 // hasDots tells whether the path has a segment "." or "..", also in encoded form. An upstream that resolves it would run
 // another kind than the one whose rules were applied.
 func hasDots(path string) bool {
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,137 @@
+package fleet
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/fulmarhitch/fulmarhitch/lapse"
+)
+
+// VM is one process of the system that serves callers.
+type VM struct {
+	// Name identifies the VM.
+	Name string
+	// Incarnation identifies one run of its process.
+	Incarnation string
+	// Address is where callers connect to it; PeerAddress is where its peers do, or empty.
+	Address, PeerAddress string
+	// FailureDomain is the failure domain it stands in.
+	FailureDomain string
+}
+
+// Fleet is the set of registered VMs. It serves many goroutines.
+type Fleet struct {
+	self VM
+
+	mu      sync.RWMutex
+	vms     *lapse.Set[VM]
+	list    []VM
+	leaving bool
+}
+
+// New returns a fleet that has only the process's own VM.
+func New(self VM) *Fleet {
+	f := &Fleet{self: self, vms: lapse.New[VM]()}
+	f.rebuild()
+	return f
+}
+
+// Self returns the process's own VM.
+func (f *Fleet) Self() VM {
+	return f.self
+}
+
+// Leave takes the own VM out of the list for good.
+func (f *Fleet) Leave() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leaving = true
+	f.rebuild()
+}
+
+// IsListed tells whether the store lists the own VM's present run.
+func (f *Fleet) IsListed() bool {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	vm, _, listed := f.vms.Get(f.self.Name)
+	return listed && vm.Incarnation == f.self.Incarnation
+}
+
+// Regained tells the fleet that the store has returned after an outage.
+func (f *Fleet) Regained(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.vms.Regained(now)
+}
+
+// Put adds or changes a VM and tells whether that changes the list.
+func (f *Fleet) Put(vm VM) (changed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	old, _, listed := f.vms.Get(vm.Name)
+	if listed && old == vm {
+		return false
+	}
+	f.vms.Put(vm.Name, vm)
+	f.rebuild()
+	return true
+}
+
+// Remove takes a VM away, at once or at the end of the grace period, and tells whether it was known.
+func (f *Fleet) Remove(name string, now time.Time) (known bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known = f.vms.Remove(name, false, now)
+	f.rebuild()
+	return known
+}
+
+// Replace takes over a whole list.
+func (f *Fleet) Replace(list []VM, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	listed := make(map[string]bool, len(list))
+	for _, vm := range list {
+		listed[vm.Name] = true
+		f.vms.Put(vm.Name, vm)
+	}
+	for name := range f.vms.All {
+		if !listed[name] {
+			f.vms.Remove(name, false, now)
+		}
+	}
+	f.rebuild()
+}
+
+// Expire ends the removed VMs whose grace has passed.
+func (f *Fleet) Expire(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.vms.Expire(now) > 0 {
+		f.rebuild()
+	}
+}
+
+// List returns the VMs by name, the own one among them unless it leaves; the caller doesn't change the slice.
+func (f *Fleet) List() []VM {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.list
+}
+
+// rebuild makes the list; the caller holds mu, except in New.
+func (f *Fleet) rebuild() {
+	var list []VM
+	for name, vm := range f.vms.All {
+		if name != f.self.Name {
+			list = append(list, vm)
+		}
+	}
+	if !f.leaving {
+		list = append(list, f.self)
+	}
+	slices.SortFunc(list, func(a, b VM) int { return strings.Compare(a.Name, b.Name) })
+	f.list = list
+}
--- /dev/null
+++ b/forwarder/retries.go
@@ -0,0 +1,62 @@
+package forwarder
+
+import (
+	"sync"
+
+	"github.com/fulmarhitch/fulmarhitch/budget"
+)
+
+// hedgeReserve is the part of the burst that is kept for requests whose first send failed.
+const hedgeReserve = 0.5
+
+// Retries holds a budget of second sends for each service. It serves many goroutines.
+type Retries struct {
+	ratio float64
+
+	mu    sync.Mutex
+	burst float64
+	all   map[string]*budget.Budget
+}
+
+// NewRetries returns budgets with the ratio of second sends to requests; they allow none until SetBurst is called.
+func NewRetries(ratio float64) *Retries {
+	return &Retries{ratio: ratio, all: make(map[string]*budget.Budget)}
+}
+
+// SetBurst sets this VM's part of the second sends that the fleet may save up for each service.
+func (r *Retries) SetBurst(burst float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.burst = burst
+	for _, b := range r.all {
+		b.SetBurst(burst)
+	}
+}
+
+// Offer counts a request for the service.
+func (r *Retries) Offer(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.get(service).Offer()
+}
+
+// Take pays for a second send; a hedge leaves a reserve for requests that failed.
+func (r *Retries) Take(service string, hedge bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b := r.get(service)
+	if hedge && b.Tokens() < 1+hedgeReserve*r.burst {
+		return false
+	}
+	return b.Take()
+}
+
+func (r *Retries) get(service string) *budget.Budget {
+	b := r.all[service]
+	if b == nil {
+		b = budget.New(r.ratio)
+		b.SetBurst(r.burst)
+		r.all[service] = b
+	}
+	return b
+}
--- /dev/null
+++ b/gateway/endpoint.go
@@ -0,0 +1,40 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// endpointTimeout bounds the reading of a request's headers and the idle time of a connection.
+const endpointTimeout = 10 * time.Second
+
+// endpoint is a kernel service that serves a small interface on a listener of its own.
+type endpoint struct {
+	listener net.Listener
+	http     *http.Server
+	done     sync.WaitGroup
+}
+
+func newEndpoint(l net.Listener, h http.Handler) *endpoint {
+	return &endpoint{listener: l, http: &http.Server{
+		Handler: h, ReadHeaderTimeout: endpointTimeout, IdleTimeout: endpointTimeout, ErrorLog: log.New(io.Discard, "", 0),
+	}}
+}
+
+// Start begins to serve.
+func (e *endpoint) Start(context.Context) error {
+	e.done.Go(func() { _ = e.http.Serve(e.listener) })
+	return nil
+}
+
+// Stop ends the service at once; its answers are immediate.
+func (e *endpoint) Stop(context.Context) error {
+	err := e.http.Close()
+	e.done.Wait()
+	return err
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,239 @@
+package gateway
+
+import (
+	"context"
+	"crypto/rand"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kratos/kratos/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/fulmarhitch/fulmarhitch/condition"
+	"github.com/fulmarhitch/fulmarhitch/directory"
+	"github.com/fulmarhitch/fulmarhitch/exchange"
+	"github.com/fulmarhitch/fulmarhitch/fleet"
+	"github.com/fulmarhitch/fulmarhitch/forwarder"
+	"github.com/fulmarhitch/fulmarhitch/ingress"
+	"github.com/fulmarhitch/fulmarhitch/kernel"
+	"github.com/fulmarhitch/fulmarhitch/logbook"
+	"github.com/fulmarhitch/fulmarhitch/mirror"
+	"github.com/fulmarhitch/fulmarhitch/registration"
+	"github.com/fulmarhitch/fulmarhitch/roster"
+	"github.com/fulmarhitch/fulmarhitch/sampler"
+	"github.com/fulmarhitch/fulmarhitch/split"
+	"github.com/fulmarhitch/fulmarhitch/telemetry"
+)
+
+// Store is where the rules, the upstreams and the registrations are kept.
+type Store interface {
+	mirror.Source
+	registration.Store
+}
+
+// Config holds what a gateway is made of besides its settings.
+type Config struct {
+	Store Store
+	// Callers and Upstreams are the dialects to either side.
+	Callers   ingress.Dialect
+	Upstreams exchange.Dialect
+	// Directory serves callers that ask for addresses, Readiness the checks of the VM.
+	Directory func(find func(failureDomain string) (directory.Answer, bool)) http.Handler
+	Readiness func(isReady func() bool) http.Handler
+	// Reload returns the settings as they are now.
+	Reload func() (*Settings, error)
+	// Output takes the log.
+	Output io.Writer
+}
+
+// Gateway is the process.
+type Gateway struct {
+	config   Config
+	settings atomic.Pointer[Settings]
+	kernel   *kernel.Kernel
+	book     *logbook.Book
+	log      *logrus.Entry
+
+	roster     *roster.Roster
+	fleet      *fleet.Fleet
+	conditions *condition.Table
+	splitter   *split.Splitter
+	retries    *forwarder.Retries
+	exchange   *exchange.Exchanger
+	sampler    *sampler.Sampler
+	mirror     *mirror.Mirror
+	ingress    *ingress.Server
+	register   *registration.Registration
+	leaving    atomic.Bool
+}
+
+// listeners are the open sockets of a process.
+type listeners struct {
+	callers, ready, directory, metrics net.Listener
+}
+
+// New returns the process for the settings. It opens the listening sockets, so that a taken address is found before
+// anything runs.
+func New(s *Settings, c Config) (*Gateway, error) {
+	g := &Gateway{
+		config: c, kernel: kernel.New(), book: logbook.New(c.Output, s.LogLevel),
+		roster: roster.New(), conditions: condition.New(), splitter: split.New(), retries: forwarder.NewRetries(s.RetryRatio),
+	}
+	g.settings.Store(s)
+	g.log = g.book.Entry(logrus.Fields{"vm": s.Name, "failure-domain": s.FailureDomain})
+	g.fleet = fleet.New(fleet.VM{
+		Name: s.Name, Incarnation: rand.Text(), Address: s.Address, FailureDomain: s.FailureDomain,
+	})
+	l, err := listen(s)
+	if err != nil {
+		g.log.WithError(err).Error("process can't start")
+		g.book.Close()
+		return nil, err
+	}
+	g.build(l)
+	return g, nil
+}
+
+// listen opens the sockets, or none of them.
+func listen(s *Settings) (l listeners, err error) {
+	places := []struct {
+		listener *net.Listener
+		address  string
+	}{{&l.callers, s.Address}, {&l.ready, s.ReadyAddress}, {&l.directory, s.DirectoryAddress}, {&l.metrics, s.MetricsAddress}}
+	for i, p := range places {
+		if p.address == "" {
+			continue
+		}
+		if *p.listener, err = net.Listen("tcp", p.address); err == nil {
+			continue
+		}
+		err = errors.Wrapf(err, "gateway: listen on %s", p.address)
+		for _, open := range places[:i] {
+			if *open.listener != nil {
+				err = errors.CombineErrors(err, (*open.listener).Close())
+			}
+		}
+		return listeners{}, err
+	}
+	return l, nil
+}
+
+// build makes the services and registers them in the order of their start; they stop in reverse.
+func (g *Gateway) build(l listeners) {
+	s := g.settings.Load()
+	g.exchange = exchange.NewWithDialect(g.connections, g.config.Upstreams)
+	g.sampler = sampler.New(g.exchange, g.conditions)
+	g.mirror = mirror.New(mirror.Config{
+		Source: g.config.Store, Roster: g.roster, Fleet: g.fleet, Changed: g.share, Log: g.log,
+	})
+	metrics := telemetry.New(g.sources())
+	g.ingress = ingress.New(l.callers, ingress.Config{
+		Dialect: g.config.Callers,
+		Forwarder: forwarder.New(forwarder.Config{
+			FailureDomain: s.FailureDomain, Roster: g.roster, Conditions: g.conditions, Upstreams: g.exchange,
+			Sampler: g.sampler, Retries: g.retries,
+		}),
+		Rules: g.mirror.Rules, RulesAge: g.mirror.Age, Pick: g.splitter.Pick, Metrics: metrics, Log: g.log,
+	})
+	g.register = registration.New(g.config.Store, g.fleet.Self(), g.isReady, g.fleet.IsListed, g.log)
+	g.kernel.Register("mirror", g.mirror)
+	g.kernel.Register("housekeeping", kernel.NewDuty(g.keepHouse))
+	if l.metrics != nil {
+		g.kernel.Register("metrics", newEndpoint(l.metrics, metrics.Handler()))
+	}
+	g.kernel.Register("ingress", g.ingress)
+	g.kernel.Register("directory", newEndpoint(l.directory, g.config.Directory(g.find)))
+	g.kernel.Register("readiness", newEndpoint(l.ready, g.config.Readiness(g.isReady)))
+	g.kernel.Register("registration", g.register)
+	g.share()
+}
+
+// sources returns the values that the metrics read.
+func (g *Gateway) sources() telemetry.Sources {
+	return telemetry.Sources{
+		RulesVersion: func() float64 {
+			if set := g.mirror.Rules(); set != nil {
+				return float64(set.Version)
+			}
+			return 0
+		},
+		StoreAge:   func() float64 { return g.mirror.Age().Seconds() },
+		Upstreams:  func() float64 { return float64(g.roster.Len()) },
+		VMs:        func() float64 { return float64(len(g.fleet.List())) },
+		Questions:  func() float64 { return float64(g.sampler.Asked()) },
+		LogDropped: func() float64 { return float64(g.book.Dropped()) },
+	}
+}
+
+// isReady tells whether the VM serves callers.
+func (g *Gateway) isReady() bool {
+	return !g.leaving.Load() && g.mirror.Rules() != nil && g.roster.Len() > 0
+}
+
+// find returns the addresses for a caller.
+func (g *Gateway) find(failureDomain string) (directory.Answer, bool) {
+	if g.mirror.Rules() == nil {
+		return directory.Answer{}, false
+	}
+	a := directory.New(g.fleet.List(), failureDomain, g.settings.Load().AddressLifetime)
+	return a, len(a.Addresses) > 0
+}
+
+// Run runs the process until it is told to stop by SIGTERM or SIGINT, or until a service fails.
+func (g *Gateway) Run() error {
+	s := g.settings.Load()
+	app := kratos.New(
+		kratos.ID(g.fleet.Self().Incarnation), kratos.Name("fulmarhitch"), kratos.Logger(logbook.Frame{Entry: g.log}),
+		kratos.Server(g.kernel), kratos.Signal(syscall.SIGTERM, os.Interrupt), kratos.StopTimeout(s.StopTimeout),
+		kratos.BeforeStop(g.drain),
+	)
+	g.log.WithFields(logrus.Fields{"address": s.Address, "incarnation": g.fleet.Self().Incarnation}).Info("process starts")
+	err := app.Run()
+	g.log.Info("process ends")
+	g.book.Close()
+	return err
+}
+
+const (
+	// stopMargin is kept from the stop timeout for the end of the process itself.
+	stopMargin = 500 * time.Millisecond
+	// refuseMargin is the part of the stop timeout in which new requests are refused, so that those in progress end.
+	refuseMargin = 1800 * time.Millisecond
+	// minDrain is the time for which callers that kept an older answer are served in any case.
+	minDrain = 2500 * time.Millisecond
+	// quietTime without a request shows that no caller comes any more.
+	quietTime = time.Second
+	// drainCheck is the time between two looks at the requests in progress.
+	drainCheck = 20 * time.Millisecond
+)
+
+// drain is the first part of a planned stop. Callers are told to go elsewhere, and those that still come are served
+// until the end is near.
+func (g *Gateway) drain(context.Context) error {
+	began := time.Now()
+	g.leaving.Store(true)
+	g.fleet.Leave()
+	g.ingress.Drain()
+	g.log.Info("process stops as planned")
+	go g.register.Leave()
+	limit := g.settings.Load().StopTimeout
+	for {
+		time.Sleep(drainCheck)
+		elapsed, running := time.Since(began), g.ingress.Running()
+		if elapsed > limit-refuseMargin {
+			g.ingress.Refuse()
+		}
+		quiet := elapsed > minDrain && running == 0 && g.ingress.Quiet() > quietTime
+		over := elapsed > limit-refuseMargin && running == 0
+		if quiet || over || elapsed > limit-stopMargin {
+			g.log.WithFields(logrus.Fields{"running": running, "drained-ms": elapsed.Milliseconds()}).Info("drain has ended")
+			return nil
+		}
+	}
+}
--- a/header/header.go
+++ b/header/header.go
@@ -33,11 +33,21 @@
 // headers that concern one connection (RFC 9110, section 7.6.1), those that make HTTP transports send a request
 // again, and those of this package.
 func EndToEnd(h http.Header) http.Header {
+	return filter(h, func(name string) bool { return isHopByHop(name) || isReplay(name) || isOwn(name) })
+}
+
+// Transparent returns the headers of h without those that concern one connection.
+func Transparent(h http.Header) http.Header {
+	return filter(h, isHopByHop)
+}
+
+// filter returns the headers that are not dropped and that the Connection header doesn't name.
+func filter(h http.Header, drop func(name string) bool) http.Header {
 	// The room is for the headers that the next hop adds.
 	out := make(http.Header, len(h)+4)
 	for name, values := range h {
 		name = http.CanonicalHeaderKey(name)
-		if !isHopByHop(name) && !isOwn(name) {
+		if !drop(name) {
 			out[name] = values
 		}
 	}
@@ -54,13 +64,18 @@
 func isHopByHop(name string) bool {
 	switch name {
 	case "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
-		"Transfer-Encoding", "Upgrade", "Expect", "Idempotency-Key", "X-Idempotency-Key":
+		"Transfer-Encoding", "Upgrade", "Expect":
 		return true
 	default:
 		return false
 	}
 }
 
+// isReplay tells whether the header lets HTTP transports send a request again.
+func isReplay(name string) bool {
+	return name == "Idempotency-Key" || name == "X-Idempotency-Key"
+}
+
 func isOwn(name string) bool {
 	return strings.HasPrefix(name, ownPrefix) || name == Load || name == State || name == Refused
 }
--- a/entry/log.go
+++ b/logbook/frame.go
@@ -1,4 +1,4 @@
-package entry
+package logbook
 
 import (
 	"fmt"
@@ -7,13 +7,13 @@
 	"github.com/sirupsen/logrus"
 )
 
-// frameLogger passes the log lines of kratos on to logrus.
-type frameLogger struct {
-	entry *logrus.Entry
+// Frame passes the log lines of kratos on to logrus.
+type Frame struct {
+	Entry *logrus.Entry
 }
 
 // Log writes one line with its pairs of keys and values.
-func (l frameLogger) Log(level log.Level, pairs ...any) error {
+func (l Frame) Log(level log.Level, pairs ...any) error {
 	fields := make(logrus.Fields, len(pairs)/2)
 	message := ""
 	for i := 0; i+1 < len(pairs); i += 2 {
@@ -24,7 +24,7 @@
 		}
 		fields[name] = pairs[i+1]
 	}
-	l.entry.WithFields(fields).Log(levelOf(level), message)
+	l.Entry.WithFields(fields).Log(levelOf(level), message)
 	return nil
 }
 
--- /dev/null
+++ b/logbook/logbook_test.go
@@ -0,0 +1,76 @@
+package logbook_test
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fulmarhitch/fulmarhitch/logbook"
+)
+
+// buffer is an output that can be read while it is written.
+type buffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+func (b *buffer) lines() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return strings.Split(strings.TrimSpace(b.b.String()), "\n")
+}
+
+// TestRate guards against a log that grows with the load, and against lines that are left out in silence.
+func TestRate(t *testing.T) {
+	Convey("Given 10,000 refusals in a row and a rare line", t, func() {
+		out := &buffer{}
+		book := logbook.New(out, logrus.InfoLevel)
+		log := book.Entry(logrus.Fields{"vm": "vm-1"})
+		for range 10_000 {
+			log.Info("request refused")
+		}
+		log.Info("rules in force")
+		time.Sleep(100 * time.Millisecond)
+		log.Info("request refused")
+		book.Close()
+		lines := out.lines()
+		So(len(lines), ShouldBeBetween, 100, 400)
+		So(strings.Join(lines, "\n"), ShouldContainSubstring, "rules in force")
+		So(lines[len(lines)-1], ShouldContainSubstring, `"suppressed":`)
+	})
+}
+
+// blocked is an output that never takes a line.
+type blocked struct{ release chan struct{} }
+
+func (b blocked) Write(p []byte) (int, error) {
+	<-b.release
+	return len(p), nil
+}
+
+// TestBlocked guards against callers that wait for a blocked output, and against a process that can't end.
+func TestBlocked(t *testing.T) {
+	Convey("Given an output that is blocked", t, func() {
+		out := blocked{make(chan struct{})}
+		defer close(out.release)
+		book := logbook.New(out, logrus.InfoLevel)
+		began := time.Now()
+		for i := range 2000 {
+			book.Entry(nil).Info(strings.Repeat("x", i%100))
+		}
+		book.Close()
+		So(time.Since(began), ShouldBeLessThan, 5*time.Second)
+		So(book.Dropped(), ShouldBeGreaterThan, 1000)
+	})
+}
--- /dev/null
+++ b/registration/registration.go
@@ -0,0 +1,133 @@
+package registration
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/fulmarhitch/fulmarhitch/backoff"
+	"github.com/fulmarhitch/fulmarhitch/fleet"
+)
+
+const (
+	// lifetime is the time after which the entry of a dead VM ends. Callers are sent to a dead VM for as long.
+	lifetime = 1800 * time.Millisecond
+	// renewal is the time between renewals; two may fail before the lease ends.
+	renewal = 600 * time.Millisecond
+	// listing is the time after a registration in which the own view of the store catches up with it.
+	listing = 2500 * time.Millisecond
+	// callTimeout bounds a call.
+	callTimeout = 700 * time.Millisecond
+	// minPause and maxPause bound the pause after a failed registration.
+	minPause = 100 * time.Millisecond
+	maxPause = time.Second
+)
+
+// ErrEnded marks a lease that has ended.
+var ErrEnded = errors.New("the lease has ended")
+
+// Lease identifies a lease.
+type Lease uint64
+
+// Store holds registrations.
+type Store interface {
+	// Register writes the entry of the VM under a new lease.
+	Register(ctx context.Context, vm fleet.VM, lifetime time.Duration) (Lease, error)
+	// Renew extends the lease, or returns ErrEnded.
+	Renew(ctx context.Context, l Lease) error
+	// Release ends the lease and with it the entry.
+	Release(ctx context.Context, l Lease) error
+}
+
+// Registration is the kernel service that registers the VM.
+type Registration struct {
+	store Store
+	vm    fleet.VM
+	log   *logrus.Entry
+	// ready tells whether the VM may be registered yet, and listed whether the store is seen to list it.
+	ready, listed func() bool
+
+	cancel context.CancelFunc
+	leave  sync.Once
+	ended  sync.WaitGroup
+}
+
+// New returns a registration of the VM that begins once ready returns true. The function listed tells whether the VM is
+// seen in the store: an entry may be taken away although its lease lives.
+func New(store Store, vm fleet.VM, ready, listed func() bool, log *logrus.Entry) *Registration {
+	return &Registration{store: store, vm: vm, ready: ready, listed: listed, log: log}
+}
+
+// Start begins to register the VM.
+func (r *Registration) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	r.cancel = cancel
+	r.ended.Go(func() { r.run(ctx) })
+	return nil
+}
+
+// Leave ends the registration and waits until its entry is removed or the store doesn't answer.
+func (r *Registration) Leave() {
+	r.leave.Do(func() {
+		r.cancel()
+		r.ended.Wait()
+	})
+}
+
+// Stop ends the registration.
+func (r *Registration) Stop(context.Context) error {
+	r.Leave()
+	return nil
+}
+
+// run holds a lease until ctx is done.
+func (r *Registration) run(ctx context.Context) {
+	pause := backoff.New(minPause, maxPause)
+	for ctx.Err() == nil {
+		if !r.ready() {
+			backoff.Sleep(ctx, minPause)
+			continue
+		}
+		lease, err := r.register(ctx)
+		if err != nil {
+			r.log.WithError(err).Debug("registration failed")
+			pause.Wait(ctx)
+			continue
+		}
+		pause.Reset()
+		r.log.WithField("lease", lease).Info("VM registered itself")
+		r.hold(ctx, lease)
+	}
+}
+
+// hold renews the lease until it has ended or ctx is done, and then releases it.
+func (r *Registration) hold(ctx context.Context, lease Lease) {
+	began := time.Now()
+	for backoff.Sleep(ctx, renewal) {
+		if time.Since(began) > listing && !r.listed() {
+			r.log.WithField("lease", lease).Warn("entry is gone, registering again")
+			return
+		}
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		err := r.store.Renew(call, lease)
+		cancel()
+		if errors.Is(err, ErrEnded) {
+			r.log.WithField("lease", lease).Warn("lease has ended, registering again")
+			return
+		}
+	}
+	call, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+	defer cancel()
+	if err := r.store.Release(call, lease); err != nil {
+		r.log.WithError(err).WithField("lease", lease).Warn("lease not released, it ends by itself")
+	}
+}
+
+func (r *Registration) register(ctx context.Context) (Lease, error) {
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return r.store.Register(call, r.vm, lifetime)
+}
--- a/request/request.go
+++ b/request/request.go
@@ -20,6 +20,8 @@
 	Tenant, Service, Kind string
 	// Class groups kinds of like length for metrics and slot shares.
 	Class string
+	// Host is the host that the caller named, or empty.
+	Host string
 	// Method, Path, Header and Body are passed to the upstream; Path has no leading slash and may carry a query.
 	Method, Path string
 	Header       http.Header
--- /dev/null
+++ b/roster/roster_test.go
@@ -0,0 +1,59 @@
+package roster_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fulmarhitch/fulmarhitch/lapse"
+	"github.com/fulmarhitch/fulmarhitch/roster"
+)
+
+// TestRemoval guards against upstreams that vanish with the store's leases, and against leaving ones that stay.
+func TestRemoval(t *testing.T) {
+	start := time.Unix(100, 0)
+	tests := map[string]struct {
+		draining bool
+		regained time.Duration // before the removal; negative for none
+		after    time.Duration // after the removal
+		want     bool
+	}{
+		"removed in calm":              {regained: -1, want: false},
+		"lapsed in an outage":          {regained: 100 * time.Millisecond, after: time.Second, want: true},
+		"lapsed and not back":          {regained: 100 * time.Millisecond, after: lapse.Grace, want: false},
+		"removed long after an outage": {regained: 3 * time.Second, want: false},
+		"drained in an outage":         {regained: 100 * time.Millisecond, draining: true, want: false},
+	}
+	for name, test := range tests {
+		Convey("Given an upstream "+name, t, func() {
+			r := roster.New()
+			u := roster.Upstream{ID: "u", Service: "s", Draining: test.draining}
+			r.Put(u)
+			if test.regained >= 0 {
+				r.Regained(start.Add(-test.regained))
+			}
+			r.Replace(nil, start)
+			r.Expire(start.Add(test.after))
+			So(r.IsUsable(u), ShouldEqual, test.want)
+			So(len(r.Usable("s")) == 1, ShouldEqual, test.want)
+			r.Put(u)
+			So(r.IsUsable(u), ShouldEqual, !test.draining)
+		})
+	}
+}
+
+// TestRebirth guards against an entry of an earlier life that replaces that of a later one.
+func TestRebirth(t *testing.T) {
+	Convey("Given an upstream that was born again under its identifier", t, func() {
+		r := roster.New()
+		first := roster.Upstream{ID: "u", Service: "s", Born: 1}
+		r.Put(first)
+		second := first
+		second.Born = 2
+		So(r.Put(second), ShouldBeTrue)
+		So(r.IsUsable(first), ShouldBeFalse)
+		So(r.Put(first), ShouldBeFalse)
+		So(r.IsUsable(second), ShouldBeTrue)
+	})
+}
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -116,7 +116,7 @@
 	a.away += now.Sub(began)
 	a.dispatcher.Release(b, dispatch.Result{
 		Class: classOf(res), State: StateOf(res.State), ServiceTime: now.Sub(began),
-		Load: dispatch.Load(res.Load),
+		Load: dispatch.Load{Running: res.Load.Running, Waiting: res.Load.Waiting, Slots: res.Load.Slots},
 	})
 	a.observe(b.Upstream.Name, res, now)
 	switch res.Class {
--- /dev/null
+++ b/selection/doc.go
@@ -0,0 +1,2 @@
+// Package selection decides which upstream a request is sent to.
+package selection
--- /dev/null
+++ b/selection/selection_test.go
@@ -0,0 +1,75 @@
+package selection_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fulmarhitch/fulmarhitch/condition"
+	"github.com/fulmarhitch/fulmarhitch/exchange"
+	"github.com/fulmarhitch/fulmarhitch/roster"
+	"github.com/fulmarhitch/fulmarhitch/selection"
+)
+
+func candidate(change func(*selection.Candidate)) selection.Candidate {
+	c := selection.Candidate{
+		Upstream:  roster.Upstream{Slots: 3},
+		Condition: condition.Condition{HasLoad: true, Load: exchange.Load{Slots: 3, Slowdown: 1}},
+		Near:      true,
+	}
+	change(&c)
+	return c
+}
+
+// TestBest guards against choices that cost callers time: disturbed hosts, full upstreams, failing ones and needless
+// crossings.
+func TestBest(t *testing.T) {
+	now := time.Unix(100, 0)
+	same := func(*selection.Candidate) {}
+	far := func(c *selection.Candidate) { c.Near = false }
+	disturbed := func(c *selection.Candidate) { c.Condition.Load.Slowdown = 7 }
+	full := func(c *selection.Candidate) { c.Condition.Load.Running = 3 }
+	cold := func(c *selection.Candidate) { c.Upstream.WarmAt = now.Add(time.Second) }
+	tests := map[string]struct{ better, worse func(*selection.Candidate) }{
+		"calm before disturbed":        {same, disturbed},
+		"near before far":              {same, far},
+		"far before near disturbed":    {far, disturbed},
+		"far before near full":         {far, full},
+		"full before disturbed":        {full, disturbed},
+		"warm before cold":             {same, cold},
+		"sound before failing":         {same, func(c *selection.Candidate) { c.Condition.Failing = 0.35 }},
+		"disturbed before unreachable": {disturbed, func(c *selection.Candidate) { c.Condition.Barred = true }},
+		"well before unwell":           {same, func(c *selection.Candidate) { c.Condition.Unwell = true }},
+		"known before unknown":         {same, func(c *selection.Candidate) { c.Condition.HasLoad = false }},
+		"unknown before disturbed":     {func(c *selection.Candidate) { c.Condition.HasLoad = false }, disturbed},
+		"fresh calm before old calm":   {same, func(c *selection.Candidate) { c.Condition.Age = 300 * time.Millisecond }},
+		"old disturbed before fresh":   {func(c *selection.Candidate) { disturbed(c); c.Condition.Age = time.Second }, disturbed},
+		"few own before many":          {same, func(c *selection.Candidate) { c.Condition.Own = 2 }},
+	}
+	for name, test := range tests {
+		Convey("Given the choice "+name, t, func() {
+			for range 4 {
+				i, _ := selection.Best([]selection.Candidate{candidate(test.worse), candidate(test.better)}, now)
+				So(i, ShouldEqual, 1)
+			}
+		})
+	}
+}
+
+// TestTies guards against equal upstreams of which only one is used.
+func TestTies(t *testing.T) {
+	Convey("Given three equal upstreams", t, func() {
+		all := make([]selection.Candidate, 3)
+		counts := make([]int, 3)
+		for range 3000 {
+			i, _ := selection.Best(all, time.Unix(100, 0))
+			counts[i]++
+		}
+		for _, n := range counts {
+			So(n, ShouldBeBetween, 850, 1150)
+		}
+		none, _ := selection.Best(nil, time.Unix(100, 0))
+		So(none, ShouldEqual, -1)
+	})
+}
--- /dev/null
+++ b/split/doc.go
@@ -0,0 +1,2 @@
+// Package split distributes requests among weighted parts.
+package split
--- /dev/null
+++ b/telemetry/telemetry.go
@@ -0,0 +1,116 @@
+package telemetry
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/fulmarhitch/fulmarhitch/outcome"
+)
+
+const (
+	namespace = "fulmarhitch"
+	// maxRules bounds the values of the label "rule"; further rules count as "other".
+	maxRules = 200
+	other    = "other"
+)
+
+// durationBuckets cover 1 ms to 30 s in seconds.
+var durationBuckets = []float64{.001, .005, .01, .025, .05, .1, .15, .2, .3, .4, .5, .75, 1, 1.5, 2, 3, 5, 10, 30}
+
+// Sources are the values that are read when the metrics are fetched.
+type Sources struct {
+	RulesVersion, StoreAge, Upstreams, VMs, Questions, LogDropped func() float64
+}
+
+// Metrics are the metrics of one process. It serves many goroutines.
+type Metrics struct {
+	registry           *prometheus.Registry
+	durations          *prometheus.HistogramVec
+	requests, attempts *prometheus.CounterVec
+	refusals, hedges   *prometheus.CounterVec
+
+	mu    sync.Mutex
+	rules map[string]bool
+}
+
+// New returns metrics with a registry of their own.
+func New(s Sources) *Metrics {
+	m := &Metrics{registry: prometheus.NewRegistry(), rules: make(map[string]bool)}
+	m.durations = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace, Name: "request_duration_seconds", Help: "Time from the receipt of a request to its outcome.",
+		Buckets: durationBuckets,
+	}, []string{"rule", "outcome"})
+	m.requests = counter("requests_total", "Outcomes of forwarded requests.", "rule", "outcome", "reason")
+	m.attempts = counter("attempts_total", "Sends to upstreams by their ends.", "rule", "end")
+	m.refusals = counter("refusals_total", "Requests that were not forwarded.", "status")
+	m.hedges = counter("hedges_total", "Second sends while the first was in progress.", "rule")
+	m.registry.MustRegister(m.durations, m.requests, m.attempts, m.refusals, m.hedges)
+	m.read("rules_version", "Version of the rules in force.", s.RulesVersion)
+	m.read("store_age_seconds", "Time since the store was last heard.", s.StoreAge)
+	m.read("upstreams", "Known upstreams.", s.Upstreams)
+	m.read("vms", "Known VMs.", s.VMs)
+	m.read("questions_total", "Questions to health endpoints.", s.Questions)
+	m.read("log_dropped_total", "Log lines lost because standard output was blocked.", s.LogDropped)
+	return m
+}
+
+func counter(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+// read registers a value that is read when the metrics are fetched.
+func (m *Metrics) read(name, help string, value func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, value))
+}
+
+// Handler serves the metrics in the exposition format of Prometheus.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// Done counts a forwarded request.
+func (m *Metrics) Done(rule string, out outcome.Outcome, took time.Duration) {
+	rule = m.label(rule)
+	name, reason := "answered", ""
+	switch out := out.(type) {
+	case outcome.Answered:
+	case outcome.NotRun:
+		name, reason = "not-run", string(out.Reason)
+	case outcome.Unknown:
+		name, reason = "unknown", string(out.Reason)
+	}
+	m.durations.WithLabelValues(rule, name).Observe(took.Seconds())
+	m.requests.WithLabelValues(rule, name, reason).Inc()
+}
+
+// Attempt counts a send to an upstream by its end; an empty end stands for one that was still in progress.
+func (m *Metrics) Attempt(rule, end string, hedge bool) {
+	rule = m.label(rule)
+	m.attempts.WithLabelValues(rule, end).Inc()
+	if hedge {
+		m.hedges.WithLabelValues(rule).Inc()
+	}
+}
+
+// Refused counts a request that was not forwarded.
+func (m *Metrics) Refused(status int) {
+	m.refusals.WithLabelValues(strconv.Itoa(status)).Inc()
+}
+
+// label returns the rule, or "other" beyond the bound of distinct rules.
+func (m *Metrics) label(rule string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.rules[rule] {
+		if len(m.rules) >= maxRules {
+			return other
+		}
+		m.rules[rule] = true
+	}
+	return rule
+}
