Hold requests at the VM until an upstream is expected to answer in time

Change: a request goes out if it is expected in time, also into a short queue of the upstream; else it looks again every 12 ms, and takes a free slot of a slow upstream or is refused once it is late. Upstreams to ask are drawn by what is known.

--- a/forwarder/choose.go
+++ b/forwarder/choose.go
@@ -1,9 +1,13 @@
 package forwarder
 
 import (
+	"cmp"
+	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/fulmarhitch/fulmarhitch/outcome"
 	"github.com/fulmarhitch/fulmarhitch/roster"
 	"github.com/fulmarhitch/fulmarhitch/selection"
 )
@@ -19,19 +23,76 @@
 	// poorCost is the cost in usual service times above which upstreams of other failure domains are looked at too;
 	// answers then come late by most rules.
 	poorCost = 2.2
+	// pollInterval is the time between two looks for a free upstream by a waiting request.
+	pollInterval = 12 * time.Millisecond
+	// inTime is the share of a rule's target by which an expected end counts as in time.
+	inTime = 0.9
+	// farEvery is the number of looks of a waiting request of which one goes to other failure domains.
+	farEvery = 3
 )
 
 // choice is the upstream chosen, with its cost.
 type choice struct {
 	selection.Candidate
-	cost float64
+	// cost ranks it, and time is the expected time of the request there, both in usual service times.
+	cost, time float64
+}
+
+// acquire waits for an upstream that is expected to answer in time, and returns it or the reason why there is none.
+//
+// Waiting here keeps the queues of the upstreams short: a request that waits there can neither go to an upstream that
+// becomes free nor make room for a more urgent one. A request that can't be in time any more takes a free slot of a slow
+// upstream, which others pass over, or is refused.
+func (r *run) acquire(ctx context.Context) (*choice, outcome.Outcome) {
+	usual := r.config.Times.Usual(r.job.Rule)
+	target := r.target()
+	for look := 0; ; look++ {
+		c := r.choose(look%farEvery == 0)
+		waited := time.Since(r.job.Arrived)
+		late := waited+usual > target
+		switch {
+		case c == nil && late:
+			return nil, outcome.NotRun{Reason: outcome.NoUpstream}
+		case c == nil:
+		case waited+time.Duration(c.time*float64(usual)) <= target:
+			return c, nil
+		case late && selection.IsFree(c.Candidate):
+			return c, nil
+		case late:
+			return nil, outcome.NotRun{Reason: outcome.QueueFull}
+		}
+		if !sleep(ctx, pollInterval/2+rand.N(pollInterval)) {
+			return nil, outcome.NotRun{Reason: outcome.Cancelled}
+		}
+	}
+}
+
+// target returns the time since the arrival by which an answer counts as in time.
+func (r *run) target() time.Duration {
+	left := r.job.Request.Deadline.Sub(r.job.Arrived)
+	if r.job.Rule.Target <= 0 {
+		return left
+	}
+	return min(time.Duration(inTime*float64(r.job.Rule.Target)), left)
+}
+
+// sleep waits and returns true, or returns false once ctx is done.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
 }
 
 // choose returns the best upstream that this request hasn't been sent to, or nil if there is none.
-func (r *run) choose() *choice {
+func (r *run) choose(mayCross bool) *choice {
 	near, far := r.candidates()
 	best := r.best(nil, near, true, nearPatience)
-	if best == nil || best.cost > poorCost {
+	if mayCross && (best == nil || best.cost > poorCost) {
 		best = r.best(best, far, false, farPatience)
 	}
 	return best
@@ -54,37 +115,52 @@
 
 // best returns the better of the choice and the best of some of the upstreams after they have been asked.
 func (r *run) best(than *choice, all []roster.Upstream, near bool, patience time.Duration) *choice {
-	some := draw(r.reachable(all), samples)
+	some := r.draw(all, near)
 	if left := time.Until(r.job.Request.Deadline); left < patience {
 		patience = max(left, 0)
 	}
 	r.config.Sampler.Ask(some, r.job.Health, patience)
+	// An upstream may have left while it was asked.
+	some = slices.DeleteFunc(some, func(u roster.Upstream) bool { return !r.config.Roster.IsUsable(u) })
 	now := time.Now()
-	list := make([]selection.Candidate, 0, len(some))
-	for _, u := range some {
-		// An upstream may have left while it was asked.
-		if r.config.Roster.IsUsable(u) {
-			list = append(list, selection.Candidate{Upstream: u, Condition: r.config.Conditions.Look(u.ID, now), Near: near})
-		}
-	}
+	list := r.look(some, near, now)
 	i, cost := selection.Best(list, now)
 	if i < 0 || than != nil && than.cost <= cost {
 		return than
 	}
-	return &choice{Candidate: list[i], cost: cost}
+	return &choice{Candidate: list[i], cost: cost, time: selection.Time(list[i], now)}
+}
+
+// look returns the upstreams with what is known of them.
+func (r *run) look(ups []roster.Upstream, near bool, now time.Time) []selection.Candidate {
+	list := make([]selection.Candidate, len(ups))
+	for i, u := range ups {
+		list[i] = selection.Candidate{Upstream: u, Condition: r.config.Conditions.Look(u.ID, now), Near: near}
+	}
+	return list
 }
 
-// reachable returns the upstreams without those that could not be reached a short time ago, unless that leaves none.
-func (r *run) reachable(all []roster.Upstream) []roster.Upstream {
+// draw returns the upstreams to ask: those that look best by what is known, and one at random. What is known is old, but
+// a host that was disturbed a short time ago is likely to be disturbed still.
+func (r *run) draw(all []roster.Upstream, near bool) []roster.Upstream {
+	if len(all) <= samples {
+		return slices.Clone(all)
+	}
 	now := time.Now()
-	some := make([]roster.Upstream, 0, len(all))
-	for _, u := range all {
-		if !r.config.Conditions.Look(u.ID, now).Barred {
-			some = append(some, u)
-		}
+	type ranked struct {
+		upstream roster.Upstream
+		cost     float64
+	}
+	list := make([]ranked, len(all))
+	for i, c := range r.look(all, near, now) {
+		list[i] = ranked{c.Upstream, selection.Cost(c, now)}
 	}
-	if len(some) == 0 {
-		return all
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	// The last one stays where the shuffle put it.
+	slices.SortStableFunc(list[:len(list)-1], func(a, b ranked) int { return cmp.Compare(a.cost, b.cost) })
+	some := []roster.Upstream{list[len(list)-1].upstream}
+	for _, l := range list[:samples-1] {
+		some = append(some, l.upstream)
 	}
 	return some
 }
--- a/forwarder/config.go
+++ b/forwarder/config.go
@@ -32,6 +32,8 @@
 	// Upstreams and Sampler reach the upstreams.
 	Upstreams Upstreams
 	Sampler   Sampler
+	// Times learns the usual service times.
+	Times *Times
 	// Retries is the budget of second sends.
 	Retries *Retries
 	// Quarantine refuses requests that crash upstreams; it may be nil.
@@ -63,6 +65,9 @@
 	Status int
 	// Hedge tells that it was sent while an earlier one still ran.
 	Hedge bool
+
+	// slowdown is that of the upstream at the time of the send, or 0 if it is not known.
+	slowdown float64
 }
 
 // Job is one request with the rule that it follows.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -10,6 +9,7 @@
 	"github.com/fulmarhitch/fulmarhitch/exchange"
 	"github.com/fulmarhitch/fulmarhitch/outcome"
 	"github.com/fulmarhitch/fulmarhitch/roster"
+	"github.com/fulmarhitch/fulmarhitch/selection"
 )
 
 const (
@@ -78,10 +78,12 @@
 }
 
 func (r *run) serve(ctx context.Context) outcome.Outcome {
-	if refused := r.send(false); refused != nil {
+	c, refused := r.acquire(ctx)
+	if refused != nil {
 		r.abort()
 		return refused
 	}
+	r.send(c, false)
 	hedge := time.NewTimer(r.hedgeDelay())
 	defer hedge.Stop()
 	deadline := time.NewTimer(time.Until(r.job.Request.Deadline))
@@ -94,9 +96,7 @@
 				return out
 			}
 		case <-hedge.C:
-			if r.mayRepeat() && r.open > 0 && r.config.Retries.Take(r.job.Request.Service, true) {
-				r.send(true)
-			}
+			r.hedge()
 		case <-deadline.C:
 			r.finish()
 			return outcome.Unknown{Reason: outcome.Timeout, Detail: "no answer by the deadline"}
@@ -139,13 +139,16 @@
 	a.Took, a.Class = e.took, e.result.Class
 	if answer, ok := e.result.Outcome.(outcome.Answered); ok {
 		a.Status = answer.Status
+		if answer.Status < http.StatusInternalServerError {
+			r.config.Times.Add(r.job.Rule, a.Took, a.slowdown)
+		}
 		if answer.Status < http.StatusInternalServerError || !r.job.Rule.Idempotent {
 			return answer
 		}
 	}
 	r.keep(e.result.Outcome)
-	if r.open == 0 && r.mayFollow(e.result) && r.config.Retries.Take(r.job.Request.Service, false) {
-		r.send(false)
+	if r.open == 0 && r.mayFollow(e.result) {
+		r.follow()
 	}
 	if r.open > 0 {
 		return nil
@@ -153,6 +156,14 @@
 	return r.last
 }
 
+// follow sends the request again after an attempt that ended without an answer.
+func (r *run) follow() {
+	c := r.choose(true)
+	if c != nil && selection.IsFree(c.Candidate) && r.config.Retries.Take(r.job.Request.Service, false) {
+		r.send(c, false)
+	}
+}
+
 // keep remembers the outcome that the caller is told if no attempt succeeds. What an upstream answered comes before
 // what is not known, and that before what did not run: a later attempt that did not run doesn't undo an earlier one.
 func (r *run) keep(out outcome.Outcome) {
@@ -195,25 +206,29 @@
 	return max(time.Duration(hedgeShare*float64(r.job.Rule.Target)), minHedgeDelay) - time.Since(r.job.Arrived)
 }
 
-// send starts an attempt at the best upstream, or returns why there is none.
-func (r *run) send(hedge bool) outcome.Outcome {
-	c := r.choose()
-	if c == nil {
-		return outcome.NotRun{Reason: outcome.NoUpstream}
+// hedge sends the request to a second upstream that is expected to be faster than the first one from now on.
+func (r *run) hedge() {
+	if !r.mayRepeat() || r.open == 0 {
+		return
 	}
-	now := time.Now()
-	if !now.Before(r.job.Request.Deadline) {
-		return outcome.NotRun{Reason: outcome.DeadlineUnreachable}
+	c := r.choose(true)
+	if c == nil || c.cost > poorCost || !selection.IsFree(c.Candidate) || len(r.ended) > 0 {
+		return
 	}
-	if hedge && len(r.ended) > 0 {
-		// The first attempt ended while the second upstream was chosen.
-		return nil
+	if r.config.Retries.Take(r.job.Request.Service, true) {
+		r.send(c, true)
 	}
+}
+
+// send starts an attempt.
+func (r *run) send(c *choice, hedge bool) {
+	now := time.Now()
 	up := c.Upstream
 	index := len(r.attempts)
 	r.attempts = append(r.attempts, Attempt{
 		Upstream: up, Near: c.Near, Load: c.Condition.Load, LoadAge: c.Condition.Age, Failing: c.Condition.Failing,
 		Cost: c.cost, Started: now.Sub(r.job.Arrived), Hedge: hedge,
+		slowdown: c.Condition.Load.Slowdown,
 	})
 	r.open++
 	r.config.Conditions.Begin(up.ID, now)
@@ -224,7 +239,6 @@
 		r.observe(up, res)
 		ends <- ended{index: index, result: res, took: time.Since(began)}
 	}()
-	return nil
 }
 
 // observe enters what a result tells of its upstream.
@@ -251,15 +265,3 @@
 		r.config.Conditions.Report(up.ID, res.Load, true, now)
 	}
 }
-
-// draw returns up to n of the upstreams in random order.
-func draw(all []roster.Upstream, n int) []roster.Upstream {
-	if len(all) <= n {
-		return all
-	}
-	some := make([]roster.Upstream, 0, n)
-	for _, i := range rand.Perm(len(all))[:n] {
-		some = append(some, all[i])
-	}
-	return some
-}
--- a/sampler/sampler.go
+++ b/sampler/sampler.go
@@ -21,8 +21,9 @@
 	freshAge = 25 * time.Millisecond
 	// answerTimeout bounds a question; an upstream that answers later is unlikely to answer a request in time.
 	answerTimeout = 400 * time.Millisecond
-	// burstSeconds is the number of seconds whose questions may be asked at once.
-	burstSeconds = 4
+	// burstSeconds is the number of seconds whose questions may be asked at once. The limit holds over a day; a swing of
+	// demand lasts some seconds and needs more questions than the time around it.
+	burstSeconds = 20
 )
 
 // Asker sends a question to an upstream.
--- a/selection/selection.go
+++ b/selection/selection.go
@@ -41,16 +41,10 @@
 	Near bool
 }
 
-// Cost returns the expected time of a request at the candidate in usual service times, with what else it costs.
-func Cost(c Candidate, now time.Time) float64 {
-	slots := max(c.Upstream.Slots, 1)
-	if c.Condition.HasLoad && c.Condition.Load.Slots > 0 {
-		slots = c.Condition.Load.Slots
-	}
-	slow, busy := slowdown(c.Condition), c.Condition.Own
-	if c.Condition.HasLoad {
-		busy += c.Condition.Load.Running + c.Condition.Load.Waiting
-	}
+// Time returns the expected time of a request at the candidate in usual service times.
+func Time(c Candidate, now time.Time) float64 {
+	slots, busy := use(c)
+	slow := slowdown(c.Condition)
 	if now.Before(c.Upstream.WarmAt) {
 		slow *= coldFactor
 	}
@@ -58,7 +52,12 @@
 		slow *= kneeFactor
 	}
 	wait := float64(max(busy-slots+1, 0)) / float64(slots)
-	cost := slow*(1+wait) + c.Condition.Failing*failure
+	return slow * (1 + wait)
+}
+
+// Cost returns the expected time of a request at the candidate in usual service times, with what else it costs.
+func Cost(c Candidate, now time.Time) float64 {
+	cost := Time(c, now) + c.Condition.Failing*failure
 	if !c.Near {
 		cost += crossing
 	}
@@ -71,6 +70,24 @@
 	return cost
 }
 
+// IsFree tells whether the candidate has a free slot.
+func IsFree(c Candidate) bool {
+	slots, busy := use(c)
+	return busy < slots
+}
+
+// use returns the candidate's slots and the requests that are known to be there.
+func use(c Candidate) (slots, busy int) {
+	slots, busy = max(c.Upstream.Slots, 1), c.Condition.Own
+	if c.Condition.HasLoad {
+		busy += c.Condition.Load.Running + c.Condition.Load.Waiting
+		if c.Condition.Load.Slots > 0 {
+			slots = c.Condition.Load.Slots
+		}
+	}
+	return slots, busy
+}
+
 // slowdown returns the expected slowdown; it moves from the reported one to the mean as the report ages.
 func slowdown(c condition.Condition) float64 {
 	if !c.HasLoad {
