--- a/forwarder/choose.go
+++ b/forwarder/choose.go
@@ -54,19 +54,26 @@
 		case c == nil && late:
 			return nil, outcome.NotRun{Reason: outcome.NoUpstream}
 		case c == nil:
-		case waited+time.Duration(c.time*float64(usual)) <= target:
+		case waited+time.Duration(c.time*float64(usual)) <= target && r.mayTake(c):
 			return c, nil
-		case late && selection.IsFree(c.Candidate):
+		case late && selection.Free(c.Candidate) > 0:
 			return c, nil
 		case late:
 			return nil, outcome.NotRun{Reason: outcome.QueueFull}
 		}
+		r.config.Pressure.Add(r.job.Request.Service, r.job.Rule.Priority, time.Now())
 		if !sleep(ctx, pollInterval/2+rand.N(pollInterval)) {
 			return nil, outcome.NotRun{Reason: outcome.Cancelled}
 		}
 	}
 }
 
+// mayTake tells whether the request may take the upstream's slot. While more urgent requests find no room, it has to leave
+// one free.
+func (r *run) mayTake(c *choice) bool {
+	return selection.Free(c.Candidate) > 1 || !r.config.Pressure.Above(r.job.Request.Service, r.job.Rule.Priority, time.Now())
+}
+
 // target returns the time since the arrival by which an answer counts as in time.
 func (r *run) target() time.Duration {
 	left := r.job.Request.Deadline.Sub(r.job.Arrived)
--- a/forwarder/config.go
+++ b/forwarder/config.go
@@ -34,6 +34,8 @@
 	Sampler   Sampler
 	// Times learns the usual service times.
 	Times *Times
+	// Pressure remembers requests that found no room.
+	Pressure *Pressure
 	// Retries is the budget of second sends.
 	Retries *Retries
 	// Quarantine refuses requests that crash upstreams; it may be nil.
@@ -66,8 +68,8 @@
 	// Hedge tells that it was sent while an earlier one still ran.
 	Hedge bool
 
-	// slowdown is that of the upstream at the time of the send, or 0 if it is not known.
-	slowdown float64
+	// expected is the expected time at the upstream in usual service times.
+	expected float64
 }
 
 // Job is one request with the rule that it follows.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -140,7 +140,7 @@
 	if answer, ok := e.result.Outcome.(outcome.Answered); ok {
 		a.Status = answer.Status
 		if answer.Status < http.StatusInternalServerError {
-			r.config.Times.Add(r.job.Rule, a.Took, a.slowdown)
+			r.config.Times.Add(r.job.Rule, a.Took, a.expected)
 		}
 		if answer.Status < http.StatusInternalServerError || !r.job.Rule.Idempotent {
 			return answer
@@ -159,7 +159,7 @@
 // follow sends the request again after an attempt that ended without an answer.
 func (r *run) follow() {
 	c := r.choose(true)
-	if c != nil && selection.IsFree(c.Candidate) && r.config.Retries.Take(r.job.Request.Service, false) {
+	if c != nil && selection.Free(c.Candidate) > 0 && r.config.Retries.Take(r.job.Request.Service, false) {
 		r.send(c, false)
 	}
 }
@@ -212,7 +212,7 @@
 		return
 	}
 	c := r.choose(true)
-	if c == nil || c.cost > poorCost || !selection.IsFree(c.Candidate) || len(r.ended) > 0 {
+	if c == nil || c.cost > poorCost || selection.Free(c.Candidate) == 0 || len(r.ended) > 0 {
 		return
 	}
 	if r.config.Retries.Take(r.job.Request.Service, true) {
@@ -228,7 +228,7 @@
 	r.attempts = append(r.attempts, Attempt{
 		Upstream: up, Near: c.Near, Load: c.Condition.Load, LoadAge: c.Condition.Age, Failing: c.Condition.Failing,
 		Cost: c.cost, Started: now.Sub(r.job.Arrived), Hedge: hedge,
-		slowdown: c.Condition.Load.Slowdown,
+		expected: c.time,
 	})
 	r.open++
 	r.config.Conditions.Begin(up.ID, now)
--- a/forwarder/times.go
+++ b/forwarder/times.go
@@ -10,7 +10,7 @@
 const (
 	// timeGain is the weight of the latest time in the usual time.
 	timeGain = 0.05
-	// calm is the slowdown up to which a host counts as undisturbed.
+	// calm is the expected time in usual times up to which an upstream counts as undisturbed and not full.
 	calm = 1.3
 	// assumedShare is the share of a rule's target that a request is taken to last before any has been seen.
 	assumedShare = 0.35
@@ -44,9 +44,9 @@
 	return assumedTime
 }
 
-// Add takes the time of a request at an upstream with the slowdown; only undisturbed upstreams count.
-func (t *Times) Add(r *ruleset.Rule, took time.Duration, slowdown float64) {
-	if slowdown <= 0 || slowdown > calm {
+// Add takes the time of a request at an upstream with the expected time in usual times; only calm upstreams count.
+func (t *Times) Add(r *ruleset.Rule, took time.Duration, expected float64) {
+	if expected > calm {
 		return
 	}
 	usual := t.Usual(r)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -138,6 +138,7 @@
 		Forwarder: forwarder.New(forwarder.Config{
 			FailureDomain: s.FailureDomain, Roster: g.roster, Conditions: g.conditions, Upstreams: g.exchange,
 			Sampler: g.sampler, Retries: g.retries, Times: forwarder.NewTimes(),
+			Pressure: forwarder.NewPressure(),
 		}),
 		Rules: g.mirror.Rules, RulesAge: g.mirror.Age, Pick: g.splitter.Pick, Metrics: metrics, Log: g.log,
 	})
--- a/selection/selection.go
+++ b/selection/selection.go
@@ -70,10 +70,10 @@
 	return cost
 }
 
-// IsFree tells whether the candidate has a free slot.
-func IsFree(c Candidate) bool {
+// Free returns the number of the candidate's free slots.
+func Free(c Candidate) int {
 	slots, busy := use(c)
-	return busy < slots
+	return max(slots-busy, 0)
 }
 
 // use returns the candidate's slots and the requests that are known to be there.
