End upstreams that left while this VM alone was cut off

Ruled out: a lost watch event (the entry was missing from the first read after the cut). Change: the grace holds only if over a quarter of the entries is missing, it is 2 s from the start of the read that succeeded, and a read waits 0.9 s at most so that a dead connection doesn't delay it. Test TestCutOff fails without the change.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -97,11 +97,7 @@
 		listed[vm.Name] = true
 		f.vms.Put(vm.Name, vm)
 	}
-	for name := range f.vms.All {
-		if !listed[name] {
-			f.vms.Remove(name, false, now)
-		}
-	}
+	f.vms.Retain(listed, func(VM) bool { return false }, now)
 	f.rebuild()
 }
 
--- a/lapse/lapse.go
+++ b/lapse/lapse.go
@@ -2,9 +2,14 @@
 
 import "time"
 
-// Grace is the time after the store's return in which entries are registered again: the platform states about two
-// seconds.
-const Grace = 2300 * time.Millisecond
+const (
+	// Grace is the time after the store's return in which entries are registered again: the platform states about two
+	// seconds.
+	Grace = 2 * time.Second
+	// massShare is the share of the entries that have to be missing after an outage for it to have taken them. Leases
+	// lapse together; a few missing entries have left while only this VM could not reach the store.
+	massShare = 0.25
+)
 
 // Set is a set of entries by name. It isn't safe for concurrent use.
 type Set[T any] struct {
@@ -56,6 +61,20 @@
 	return true
 }
 
+// Retain removes the entries that are not listed, under the rules of Remove. Few missing entries have no grace.
+func (s *Set[T]) Retain(listed map[string]bool, isFinal func(T) bool, now time.Time) {
+	var missing []string
+	for name := range s.entries {
+		if !listed[name] {
+			missing = append(missing, name)
+		}
+	}
+	few := float64(len(missing)) <= massShare*float64(len(s.entries))
+	for _, name := range missing {
+		s.Remove(name, few || isFinal(s.entries[name].value), now)
+	}
+}
+
 // Expire ends the removed entries whose grace has passed and returns their number.
 func (s *Set[T]) Expire(now time.Time) int {
 	n := 0
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -21,13 +21,14 @@
 	watchWait = 1500 * time.Millisecond
 	// watchSlack is the time that an answer may take beyond the wait before the call counts as failed.
 	watchSlack = 600 * time.Millisecond
-	// readTimeout bounds a read of all entries.
-	readTimeout = 2 * time.Second
+	// readTimeout bounds a read of all entries. A VM that was cut off has to see within 3 s which upstreams have
+	// left meanwhile, so it must not wait for a connection that died in the cut.
+	readTimeout = 900 * time.Millisecond
 	// gather is the pause after a watch that returned changes, so that a series of changes costs few calls.
 	gather = 200 * time.Millisecond
 	// minPause and maxPause bound the pause after a failed call.
 	minPause = 100 * time.Millisecond
-	maxPause = 800 * time.Millisecond
+	maxPause = 250 * time.Millisecond
 	// outageAfter is the time without a successful call after which the store counts as lost: entries may have lapsed.
 	outageAfter = time.Second
 )
@@ -134,13 +135,13 @@
 func (m *Mirror) read(ctx context.Context) (uint64, error) {
 	call, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	began := time.Now()
 	changes, revision, err := m.config.Source.Snapshot(call)
 	if err != nil {
 		return 0, err
 	}
-	now := time.Now()
-	m.succeeded(now)
-	m.replace(changes, now)
+	m.succeeded(began)
+	m.replace(changes, time.Now())
 	return revision, nil
 }
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -59,7 +59,9 @@
 func (r *Roster) Remove(id string, now time.Time) (known bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	known = r.remove(id, now)
+	// A draining upstream ends as announced.
+	u, _, _ := r.all.Get(id)
+	known = r.all.Remove(id, u.Draining, now)
 	if known {
 		r.rebuild()
 	}
@@ -75,11 +77,7 @@
 		listed[u.ID] = true
 		r.put(u)
 	}
-	for id := range r.all.All {
-		if !listed[id] {
-			r.remove(id, now)
-		}
-	}
+	r.all.Retain(listed, func(u Upstream) bool { return u.Draining }, now)
 	r.rebuild()
 }
 
@@ -126,12 +124,6 @@
 	return true
 }
 
-// remove takes an entry away; that of a draining upstream ends as announced. The caller holds mu.
-func (r *Roster) remove(id string, now time.Time) bool {
-	u, _, _ := r.all.Get(id)
-	return r.all.Remove(id, u.Draining, now)
-}
-
 // rebuild lists the usable upstreams by service; the caller holds mu.
 func (r *Roster) rebuild() {
 	services := make(map[string][]Upstream)
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -43,6 +43,25 @@
 	}
 }
 
+// TestCutOff guards against upstreams that left while this VM alone was cut off and that get requests during the grace
+// period of an outage.
+func TestCutOff(t *testing.T) {
+	Convey("Given nine upstreams of which one left during a cut", t, func() {
+		now := time.Unix(100, 0)
+		r := roster.New()
+		var list []roster.Upstream
+		for i := range 9 {
+			u := roster.Upstream{ID: string(rune('a' + i)), Service: "s"}
+			list = append(list, u)
+			r.Put(u)
+		}
+		r.Regained(now)
+		r.Replace(list[1:], now)
+		So(r.IsUsable(list[0]), ShouldBeFalse)
+		So(len(r.Usable("s")), ShouldEqual, 8)
+	})
+}
+
 // TestRebirth guards against an entry of an earlier life that replaces that of a later one.
 func TestRebirth(t *testing.T) {
 	Convey("Given an upstream that was born again under its identifier", t, func() {
