Let one VM of each failure domain watch the store for the others

Ruled out: longer waits (a broken watch then goes unnoticed for longer than a configuration may take); gossip (messages between all VMs all the time, and an order of events to be agreed). Change: package relay; the VM with the lowest hash of its incarnation watches, the others ask it for changes and learn how old its knowledge is; whoever gets no fresh answer within 1.4 s asks the store itself.

--- a/cmd/fulmarhitch/gateway.go
+++ b/cmd/fulmarhitch/gateway.go
@@ -20,7 +20,7 @@
 	store := platform.New(s.StoreAddress)
 	defer store.Close()
 	g, err := gateway.New(s, gateway.Config{
-		Store: store, Callers: platform.Callers(), Upstreams: platform.Upstreams(), Directory: platform.Directory,
+		Store: store, Decode: platform.Decode, Callers: platform.Callers(), Upstreams: platform.Upstreams(), Directory: platform.Directory,
 		Readiness: platform.Readiness, Reload: c.read, Output: out.stdout,
 	})
 	if err != nil {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/fulmarhitch/fulmarhitch/lapse"
 )
 
@@ -117,6 +119,20 @@
 	return f.list
 }
 
+// Reader returns the VM that watches the store for the own failure domain: the one with the lowest hash of its
+// incarnation, so that the duty moves when a process ends.
+func (f *Fleet) Reader() (VM, bool) {
+	var reader VM
+	lowest, found := uint64(0), false
+	for _, vm := range f.List() {
+		h := xxhash.Sum64String(vm.Incarnation)
+		if vm.FailureDomain == f.self.FailureDomain && (!found || h < lowest) {
+			reader, lowest, found = vm, h, true
+		}
+	}
+	return reader, found
+}
+
 // rebuild makes the list; the caller holds mu, except in New.
 func (f *Fleet) rebuild() {
 	var list []VM
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -12,6 +12,7 @@
 //	ready-address        IP address and port          required, for readiness checks
 //	directory-address    IP address and port          required, for callers that ask for addresses
 //	store-address        IP address and port          required
+//	peer-address         IP address and port          none, for other VMs
 //	metrics-address      IP address and port          none
 //	address-lifetime     100ms to 1m                  2s, how long callers may keep addresses
 //	stop-timeout         1s to 10m                    6s, from the signal to the end of the process
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/fulmarhitch/fulmarhitch/logbook"
 	"github.com/fulmarhitch/fulmarhitch/mirror"
 	"github.com/fulmarhitch/fulmarhitch/registration"
+	"github.com/fulmarhitch/fulmarhitch/relay"
 	"github.com/fulmarhitch/fulmarhitch/roster"
 	"github.com/fulmarhitch/fulmarhitch/sampler"
 	"github.com/fulmarhitch/fulmarhitch/split"
@@ -40,6 +41,8 @@
 // Config holds what a gateway is made of besides its settings.
 type Config struct {
 	Store Store
+	// Decode reads the store's entries.
+	Decode func(e mirror.Entry, now time.Time) []mirror.Change
 	// Callers and Upstreams are the dialects to either side.
 	Callers   ingress.Dialect
 	Upstreams exchange.Dialect
@@ -70,12 +73,14 @@
 	mirror     *mirror.Mirror
 	ingress    *ingress.Server
 	register   *registration.Registration
+	relay      *relay.Log
+	peers      *http.Client
 	leaving    atomic.Bool
 }
 
 // listeners are the open sockets of a process.
 type listeners struct {
-	callers, ready, directory, metrics net.Listener
+	callers, peers, ready, directory, metrics net.Listener
 }
 
 // New returns the process for the settings. It opens the listening sockets, so that a taken address is found before
@@ -84,11 +89,13 @@
 	g := &Gateway{
 		config: c, kernel: kernel.New(), book: logbook.New(c.Output, s.LogLevel),
 		roster: roster.New(), conditions: condition.New(), splitter: split.New(), retries: forwarder.NewRetries(s.RetryRatio),
+		relay: relay.NewLog(), peers: relay.NewClient(),
 	}
 	g.settings.Store(s)
 	g.log = g.book.Entry(logrus.Fields{"vm": s.Name, "failure-domain": s.FailureDomain})
 	g.fleet = fleet.New(fleet.VM{
-		Name: s.Name, Incarnation: rand.Text(), Address: s.Address, FailureDomain: s.FailureDomain,
+		Name: s.Name, Incarnation: rand.Text(), Address: s.Address, PeerAddress: s.PeerAddress,
+		FailureDomain: s.FailureDomain,
 	})
 	l, err := listen(s)
 	if err != nil {
@@ -105,7 +112,7 @@
 	places := []struct {
 		listener *net.Listener
 		address  string
-	}{{&l.callers, s.Address}, {&l.ready, s.ReadyAddress}, {&l.directory, s.DirectoryAddress}, {&l.metrics, s.MetricsAddress}}
+	}{{&l.callers, s.Address}, {&l.peers, s.PeerAddress}, {&l.ready, s.ReadyAddress}, {&l.directory, s.DirectoryAddress}, {&l.metrics, s.MetricsAddress}}
 	for i, p := range places {
 		if p.address == "" {
 			continue
@@ -130,7 +137,8 @@
 	g.exchange = exchange.NewWithDialect(g.connections, g.config.Upstreams)
 	g.sampler = sampler.New(g.exchange, g.conditions)
 	g.mirror = mirror.New(mirror.Config{
-		Source: g.config.Store, Roster: g.roster, Fleet: g.fleet, Changed: g.share, Log: g.log,
+		Store: g.config.Store, Decode: g.config.Decode, Peer: g.peer, Relay: g.relay, Roster: g.roster, Fleet: g.fleet,
+		Changed: g.share, Log: g.log,
 	})
 	metrics := telemetry.New(g.sources())
 	g.ingress = ingress.New(l.callers, ingress.Config{
@@ -148,6 +156,9 @@
 	if l.metrics != nil {
 		g.kernel.Register("metrics", newEndpoint(l.metrics, metrics.Handler()))
 	}
+	if l.peers != nil {
+		g.kernel.Register("relay", newEndpoint(l.peers, relay.Handler(g.relay)))
+	}
 	g.kernel.Register("ingress", g.ingress)
 	g.kernel.Register("directory", newEndpoint(l.directory, g.config.Directory(g.find)))
 	g.kernel.Register("readiness", newEndpoint(l.ready, g.config.Readiness(g.isReady)))
@@ -177,6 +188,15 @@
 	return !g.leaving.Load() && g.mirror.Rules() != nil && g.roster.Len() > 0
 }
 
+// peer returns the VM to follow in place of the store, or nil if this VM watches the store for its failure domain.
+func (g *Gateway) peer() mirror.Source {
+	vm, ok := g.fleet.Reader()
+	if !ok || vm.Name == g.fleet.Self().Name || vm.PeerAddress == "" {
+		return nil
+	}
+	return relay.NewPeer(g.peers, vm.PeerAddress)
+}
+
 // find returns the addresses for a caller.
 func (g *Gateway) find(failureDomain string) (directory.Answer, bool) {
 	if g.mirror.Rules() == nil {
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -16,6 +16,8 @@
 	Address, ReadyAddress, DirectoryAddress string
 	// StoreAddress is that of the store.
 	StoreAddress string
+	// PeerAddress is for other VMs; without it the VM and the others each watch the store themselves.
+	PeerAddress string
 	// MetricsAddress serves the metrics; it may be empty.
 	MetricsAddress string
 	// AddressLifetime is how long callers may keep addresses.
@@ -43,6 +45,7 @@
 		ReadyAddress:     document.Get(t, "ready-address", address),
 		DirectoryAddress: document.Get(t, "directory-address", address),
 		StoreAddress:     document.Get(t, "store-address", address),
+		PeerAddress:      document.Get(t, "peer-address", document.Setting[string]{Optional: true, Check: document.Address}),
 		MetricsAddress:   document.Get(t, "metrics-address", document.Setting[string]{Optional: true, Check: document.Address}),
 		AddressLifetime: document.Get(t, "address-lifetime", document.Setting[time.Duration]{
 			Optional: true, Default: 2 * time.Second, Check: document.Range(100*time.Millisecond, time.Minute),
--- a/mirror/change.go
+++ b/mirror/change.go
@@ -57,11 +57,33 @@
 func (VMGone) isChange()       {}
 func (Unreadable) isChange()   {}
 
-// Source is where the entries come from.
+// Entry is one entry of the store, or its removal.
+type Entry struct {
+	// Key and Value are as they are stored.
+	Key   string
+	Value []byte
+	// Revision is that of its last change.
+	Revision uint64
+	// Deleted tells that the entry was removed.
+	Deleted bool
+}
+
+// Batch is what a source tells of the store.
+type Batch struct {
+	// Entries are the changes in their order, or all entries if Whole is true.
+	Entries []Entry
+	Whole   bool
+	// Revision is that up to which they are complete.
+	Revision uint64
+	// Age is the time since the source heard the store itself; it is 0 for the store.
+	Age time.Duration
+}
+
+// Source is where the entries come from: the store, or a VM that watches it.
 type Source interface {
-	// Snapshot returns all entries and the revision up to which they are complete.
-	Snapshot(ctx context.Context) ([]Change, uint64, error)
-	// Watch returns the changes after the revision and the revision to continue from. It returns without changes after
-	// the wait, and with ErrForgotten if changes may be missing.
-	Watch(ctx context.Context, after uint64, wait time.Duration) ([]Change, uint64, error)
+	// Snapshot returns all entries.
+	Snapshot(ctx context.Context) (Batch, error)
+	// Watch returns the changes after the revision. It returns without changes after the wait, and with ErrForgotten if
+	// changes may be missing.
+	Watch(ctx context.Context, after uint64, wait time.Duration) (Batch, error)
 }
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -16,13 +16,13 @@
 )
 
 const (
-	// watchWait is the longest wait of one watch. It bounds the time for which a broken watch goes unnoticed, and is
-	// below the 2 s in which a configuration has to be in force.
-	watchWait = 1500 * time.Millisecond
+	// watchWait is the longest wait of one watch. A broken watch goes unnoticed for this time and the slack, which
+	// together are below the 2 s in which a configuration has to be in force.
+	watchWait = time.Second
 	// watchSlack is the time that an answer may take beyond the wait before the call counts as failed.
-	watchSlack = 600 * time.Millisecond
-	// readTimeout bounds a read of all entries. A VM that was cut off has to see within 3 s which upstreams have
-	// left meanwhile, so it must not wait for a connection that died in the cut.
+	watchSlack = 400 * time.Millisecond
+	// readTimeout bounds a read of all entries. A VM that was cut off has to see within 3 s which upstreams have left
+	// meanwhile, so it must not wait for a connection that died in the cut.
 	readTimeout = 900 * time.Millisecond
 	// gather is the pause after a watch that returned changes, so that a series of changes costs few calls.
 	gather = 200 * time.Millisecond
@@ -31,11 +31,21 @@
 	maxPause = 250 * time.Millisecond
 	// outageAfter is the time without a successful call after which the store counts as lost: entries may have lapsed.
 	outageAfter = time.Second
+	// maxAge is the age of a peer's knowledge above which the peer counts as failed.
+	maxAge = watchWait + watchSlack
+	// directTime is the time for which the store is asked directly after a peer failed, and after the start.
+	directTime = 4 * time.Second
 )
 
 // Config holds what a mirror works with.
 type Config struct {
-	Source Source
+	// Store is the source that is always right, and Decode reads its entries.
+	Store  Source
+	Decode func(e Entry, now time.Time) []Change
+	// Peer returns a VM to follow in place of the store, or nil.
+	Peer func() Source
+	// Relay takes what is heard, for the VMs that follow this one.
+	Relay  Relay
 	Roster *roster.Roster
 	Fleet  *fleet.Fleet
 	// Changed is called after the view has changed.
@@ -43,21 +53,32 @@
 	Log     *logrus.Entry
 }
 
+// Relay passes on what this VM hears.
+type Relay interface {
+	// Take enters what a source told at the time heard.
+	Take(b Batch, heard time.Time)
+	// Lost says that nothing is heard any more.
+	Lost()
+}
+
 // Mirror is the kernel service that follows the store.
 type Mirror struct {
 	config Config
 	rules  atomic.Pointer[ruleset.Set]
 	// heard is the time of the last successful call, in ns since the start.
-	heard  atomic.Int64
-	start  time.Time
-	lost   bool
-	cancel context.CancelFunc
-	ended  sync.WaitGroup
+	heard atomic.Int64
+	start time.Time
+	lost  bool
+	// directTo is the time until which the store is asked directly.
+	directTo time.Time
+	cancel   context.CancelFunc
+	ended    sync.WaitGroup
 }
 
 // New returns a mirror that knows nothing.
 func New(c Config) *Mirror {
-	return &Mirror{config: c, start: time.Now()}
+	now := time.Now()
+	return &Mirror{config: c, start: now, directTo: now.Add(directTime)}
 }
 
 // Rules returns the rules in force, or nil if none are known yet.
@@ -90,15 +111,19 @@
 	pause := backoff.New(minPause, maxPause)
 	revision, known := uint64(0), false
 	for ctx.Err() == nil {
-		var err error
-		if known {
-			revision, err = m.watch(ctx, revision)
-		} else if revision, err = m.read(ctx); err == nil {
-			known = true
-		}
+		source, isPeer := m.source()
+		b, err := m.hear(ctx, source, revision, known)
 		switch {
 		case err == nil:
 			pause.Reset()
+			revision, known = max(b.Revision, revision), true
+			if len(b.Entries) > 0 {
+				backoff.Sleep(ctx, gather)
+			}
+		case isPeer:
+			// The store is asked at once, from the same revision.
+			m.directTo = time.Now().Add(directTime)
+			m.config.Log.WithError(err).Info("peer failed, following the store")
 		case errors.Is(err, ErrForgotten):
 			// The store answers, so there is nothing to wait for.
 			m.config.Log.WithField("revision", revision).Info("history of the store is gone, reading all entries")
@@ -111,8 +136,67 @@
 	}
 }
 
+// source returns where to listen next.
+func (m *Mirror) source() (source Source, isPeer bool) {
+	if time.Now().Before(m.directTo) {
+		return m.config.Store, false
+	}
+	if p := m.config.Peer(); p != nil {
+		return p, true
+	}
+	return m.config.Store, false
+}
+
+// hear reads all entries or waits for changes, and takes them over.
+func (m *Mirror) hear(ctx context.Context, source Source, revision uint64, known bool) (Batch, error) {
+	timeout := readTimeout
+	if known {
+		timeout = watchWait + watchSlack
+	}
+	call, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	began := time.Now()
+	var b Batch
+	var err error
+	if known {
+		b, err = source.Watch(call, revision, watchWait)
+	} else {
+		b, err = source.Snapshot(call)
+	}
+	if err == nil && b.Age > maxAge {
+		err = errors.Newf("what the peer knows is %d ms old", b.Age.Milliseconds())
+	}
+	if err != nil {
+		return Batch{}, err
+	}
+	now := time.Now()
+	heard := now.Add(-b.Age)
+	if !known {
+		heard = began.Add(-b.Age)
+	}
+	m.succeeded(heard)
+	m.config.Relay.Take(b, heard)
+	m.take(b, now)
+	return b, nil
+}
+
+// take takes over what a source told.
+func (m *Mirror) take(b Batch, now time.Time) {
+	var changes []Change
+	for _, e := range b.Entries {
+		changes = append(changes, m.config.Decode(e, now)...)
+	}
+	switch {
+	case b.Whole:
+		m.replace(changes, now)
+	case len(changes) > 0:
+		m.apply(changes, now)
+	}
+}
+
 // failed notes a failed call.
 func (m *Mirror) failed(ctx context.Context, err error) {
+	m.config.Relay.Lost()
 	if ctx.Err() != nil || m.lost || m.Age() < outageAfter {
 		return
 	}
@@ -131,37 +215,6 @@
 	m.heard.Store(int64(now.Sub(m.start)))
 }
 
-// read takes over all entries.
-func (m *Mirror) read(ctx context.Context) (uint64, error) {
-	call, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	began := time.Now()
-	changes, revision, err := m.config.Source.Snapshot(call)
-	if err != nil {
-		return 0, err
-	}
-	m.succeeded(began)
-	m.replace(changes, time.Now())
-	return revision, nil
-}
-
-// watch waits for changes after the revision and takes them over.
-func (m *Mirror) watch(ctx context.Context, revision uint64) (uint64, error) {
-	call, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
-	defer cancel()
-	changes, next, err := m.config.Source.Watch(call, revision, watchWait)
-	if err != nil {
-		return revision, err
-	}
-	now := time.Now()
-	m.succeeded(now)
-	if len(changes) > 0 {
-		m.apply(changes, now)
-		backoff.Sleep(ctx, gather)
-	}
-	return max(next, revision), nil
-}
-
 // replace takes over a whole list of entries.
 func (m *Mirror) replace(changes []Change, now time.Time) {
 	var ups []roster.Upstream
