Follow a peer from the start, lengthen leases with the fleet, use subsets of upstreams

Cause: on the grown deployments 111 VMs watched the store for 4 s at the start, and renewals made 30 % of the calls. Ruled out: fewer watches of the readers (they make 3 calls a second of 61). Change: a VM follows a peer as soon as it has read the store once; leases last 1.8 s up to 20 VMs and up to 4.5 s in larger fleets; a VM uses 8 upstreams of a service in its failure domain.

--- a/forwarder/choose.go
+++ b/forwarder/choose.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/fulmarhitch/fulmarhitch/outcome"
 	"github.com/fulmarhitch/fulmarhitch/roster"
 	"github.com/fulmarhitch/fulmarhitch/selection"
@@ -23,6 +25,9 @@
 	// poorCost is the cost in usual service times above which upstreams of other failure domains are looked at too;
 	// answers then come late by most rules.
 	poorCost = 2.2
+	// subsetSize is the number of upstreams of a service in the failure domain that a VM uses. It holds enough to find a
+	// calm one while some have failed.
+	subsetSize = 8
 	// pollInterval is the time between two looks for a free upstream by a waiting request.
 	pollInterval = 12 * time.Millisecond
 	// inTime is the share of a rule's target by which an expected end counts as in time.
@@ -98,13 +103,35 @@
 // choose returns the best upstream that this request hasn't been sent to, or nil if there is none.
 func (r *run) choose(mayCross bool) *choice {
 	near, far := r.candidates()
-	best := r.best(nil, near, true, nearPatience)
+	best := r.best(nil, r.subset(near), true, nearPatience)
 	if mayCross && (best == nil || best.cost > poorCost) {
 		best = r.best(best, far, false, farPatience)
 	}
 	return best
 }
 
+// subset returns the upstreams that this VM prefers among many: the same ones each time, others than most other VMs
+// prefer. A VM that used all would need a connection to each, and few of them would be used again before they close.
+func (r *run) subset(all []roster.Upstream) []roster.Upstream {
+	if len(all) <= subsetSize {
+		return all
+	}
+	type ranked struct {
+		upstream roster.Upstream
+		hash     uint64
+	}
+	list := make([]ranked, len(all))
+	for i, u := range all {
+		list[i] = ranked{u, xxhash.Sum64String(r.config.VM + " " + u.ID)}
+	}
+	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(a.hash, b.hash) })
+	some := make([]roster.Upstream, subsetSize)
+	for i := range some {
+		some[i] = list[i].upstream
+	}
+	return some
+}
+
 // candidates returns the service's upstreams that were not tried yet, by failure domain.
 func (r *run) candidates() (near, far []roster.Upstream) {
 	for _, u := range r.config.Roster.Usable(r.job.Request.Service) {
--- a/forwarder/config.go
+++ b/forwarder/config.go
@@ -24,8 +24,8 @@
 
 // Config holds what a forwarder works with.
 type Config struct {
-	// FailureDomain is that of the VM.
-	FailureDomain string
+	// VM is the name of the VM, and FailureDomain is where it stands.
+	VM, FailureDomain string
 	// Roster and Conditions hold the upstreams and what is known of them.
 	Roster     *roster.Roster
 	Conditions *condition.Table
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -144,13 +144,14 @@
 	g.ingress = ingress.New(l.callers, ingress.Config{
 		Dialect: g.config.Callers,
 		Forwarder: forwarder.New(forwarder.Config{
-			FailureDomain: s.FailureDomain, Roster: g.roster, Conditions: g.conditions, Upstreams: g.exchange,
+			VM: s.Name, FailureDomain: s.FailureDomain, Roster: g.roster, Conditions: g.conditions, Upstreams: g.exchange,
 			Sampler: g.sampler, Retries: g.retries, Times: forwarder.NewTimes(),
 			Pressure: forwarder.NewPressure(),
 		}),
 		Rules: g.mirror.Rules, RulesAge: g.mirror.Age, Pick: g.splitter.Pick, Metrics: metrics, Log: g.log,
 	})
-	g.register = registration.New(g.config.Store, g.fleet.Self(), g.isReady, g.fleet.IsListed, g.log)
+	g.register = registration.New(g.config.Store, g.fleet.Self(), g.isReady, g.fleet.IsListed,
+		func() int { return len(g.fleet.List()) }, g.log)
 	g.kernel.Register("mirror", g.mirror)
 	g.kernel.Register("housekeeping", kernel.NewDuty(g.keepHouse))
 	if l.metrics != nil {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -33,7 +33,7 @@
 	outageAfter = time.Second
 	// maxAge is the age of a peer's knowledge above which the peer counts as failed.
 	maxAge = watchWait + watchSlack
-	// directTime is the time for which the store is asked directly after a peer failed, and after the start.
+	// directTime is the time for which the store is asked directly after a peer failed.
 	directTime = 4 * time.Second
 )
 
@@ -77,8 +77,7 @@
 
 // New returns a mirror that knows nothing.
 func New(c Config) *Mirror {
-	now := time.Now()
-	return &Mirror{config: c, start: now, directTo: now.Add(directTime)}
+	return &Mirror{config: c, start: time.Now()}
 }
 
 // Rules returns the rules in force, or nil if none are known yet.
@@ -111,7 +110,7 @@
 	pause := backoff.New(minPause, maxPause)
 	revision, known := uint64(0), false
 	for ctx.Err() == nil {
-		source, isPeer := m.source()
+		source, isPeer := m.source(known)
 		b, err := m.hear(ctx, source, revision, known)
 		switch {
 		case err == nil:
@@ -136,9 +135,9 @@
 	}
 }
 
-// source returns where to listen next.
-func (m *Mirror) source() (source Source, isPeer bool) {
-	if time.Now().Before(m.directTo) {
+// source returns where to listen next. What was never read, or was lost, comes from the store.
+func (m *Mirror) source(known bool) (source Source, isPeer bool) {
+	if !known || time.Now().Before(m.directTo) {
 		return m.config.Store, false
 	}
 	if p := m.config.Peer(); p != nil {
--- a/registration/registration.go
+++ b/registration/registration.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -13,10 +14,15 @@
 )
 
 const (
-	// lifetime is the time after which the entry of a dead VM ends. Callers are sent to a dead VM for as long.
-	lifetime = 1800 * time.Millisecond
-	// renewal is the time between renewals; two may fail before the lease ends.
-	renewal = 600 * time.Millisecond
+	// minLifetime is the time after which the entry of a dead VM ends in a small fleet. Callers are sent to a dead VM for
+	// as long.
+	minLifetime = 1800 * time.Millisecond
+	// maxLifetime is the same in a large one, where a dead VM matters less and renewals cost more.
+	maxLifetime = 4500 * time.Millisecond
+	// smallFleet is the number of VMs up to which the lifetime is the least.
+	smallFleet = 20
+	// renewals is the number of renewals in a lifetime; all but one may fail.
+	renewals = 3
 	// listing is the time after a registration in which the own view of the store catches up with it.
 	listing = 2500 * time.Millisecond
 	// callTimeout bounds a call.
@@ -49,6 +55,8 @@
 	log   *logrus.Entry
 	// ready tells whether the VM may be registered yet, and listed whether the store is seen to list it.
 	ready, listed func() bool
+	// vms returns the number of VMs of the fleet.
+	vms func() int
 
 	cancel context.CancelFunc
 	leave  sync.Once
@@ -57,8 +65,15 @@
 
 // New returns a registration of the VM that begins once ready returns true. The function listed tells whether the VM is
 // seen in the store: an entry may be taken away although its lease lives.
-func New(store Store, vm fleet.VM, ready, listed func() bool, log *logrus.Entry) *Registration {
-	return &Registration{store: store, vm: vm, ready: ready, listed: listed, log: log}
+// The lifetime of the lease grows with the number of VMs, so that renewals grow more slowly than the fleet.
+func New(store Store, vm fleet.VM, ready, listed func() bool, vms func() int, log *logrus.Entry) *Registration {
+	return &Registration{store: store, vm: vm, ready: ready, listed: listed, vms: vms, log: log}
+}
+
+// lifetime returns the lifetime of a lease in a fleet of the present size.
+func (r *Registration) lifetime() time.Duration {
+	growth := math.Sqrt(float64(r.vms()) / smallFleet)
+	return min(max(time.Duration(growth*float64(minLifetime)), minLifetime), maxLifetime)
 }
 
 // Start begins to register the VM.
@@ -91,7 +106,8 @@
 			backoff.Sleep(ctx, minPause)
 			continue
 		}
-		lease, err := r.register(ctx)
+		lifetime := r.lifetime()
+		lease, err := r.register(ctx, lifetime)
 		if err != nil {
 			r.log.WithError(err).Debug("registration failed")
 			pause.Wait(ctx)
@@ -99,14 +115,18 @@
 		}
 		pause.Reset()
 		r.log.WithField("lease", lease).Info("VM registered itself")
-		r.hold(ctx, lease)
+		r.hold(ctx, lease, lifetime)
 	}
 }
 
 // hold renews the lease until it has ended or ctx is done, and then releases it.
-func (r *Registration) hold(ctx context.Context, lease Lease) {
+func (r *Registration) hold(ctx context.Context, lease Lease, lifetime time.Duration) {
 	began := time.Now()
-	for backoff.Sleep(ctx, renewal) {
+	for backoff.Sleep(ctx, lifetime/renewals) {
+		if r.lifetime() > 3*lifetime/2 {
+			// The fleet has grown. The entry moves to a new lease and the old one ends by itself.
+			return
+		}
 		if time.Since(began) > listing && !r.listed() {
 			r.log.WithField("lease", lease).Warn("entry is gone, registering again")
 			return
@@ -126,7 +146,7 @@
 	}
 }
 
-func (r *Registration) register(ctx context.Context) (Lease, error) {
+func (r *Registration) register(ctx context.Context, lifetime time.Duration) (Lease, error) {
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	return r.store.Register(call, r.vm, lifetime)
