Let a second VM take over for a lost reader, and look for a lost store rarely

Change: two readers in order; after one fails, a follower asks the store once and follows the other; followers look for a lost store once a second.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"sync"
@@ -11,6 +12,9 @@
 	"github.com/fulmarhitch/fulmarhitch/lapse"
 )
 
+// readers is the number of VMs of a failure domain that may watch the store for the others.
+const readers = 2
+
 // VM is one process of the system that serves callers.
 type VM struct {
 	// Name identifies the VM.
@@ -119,18 +123,20 @@
 	return f.list
 }
 
-// Reader returns the VM that watches the store for the own failure domain: the one with the lowest hash of its
-// incarnation, so that the duty moves when a process ends.
-func (f *Fleet) Reader() (VM, bool) {
-	var reader VM
-	lowest, found := uint64(0), false
+// Readers returns the VMs of the own failure domain that watch the store for the others: the first one while it lives,
+// the second one while the first is not heard. They have the lowest hashes of their incarnations, so that the duty moves
+// when a process ends.
+func (f *Fleet) Readers() []VM {
+	var near []VM
 	for _, vm := range f.List() {
-		h := xxhash.Sum64String(vm.Incarnation)
-		if vm.FailureDomain == f.self.FailureDomain && (!found || h < lowest) {
-			reader, lowest, found = vm, h, true
+		if vm.FailureDomain == f.self.FailureDomain {
+			near = append(near, vm)
 		}
 	}
-	return reader, found
+	slices.SortFunc(near, func(a, b VM) int {
+		return cmp.Compare(xxhash.Sum64String(a.Incarnation), xxhash.Sum64String(b.Incarnation))
+	})
+	return near[:min(len(near), readers)]
 }
 
 // rebuild makes the list; the caller holds mu, except in New.
--- a/forwarder/choose.go
+++ b/forwarder/choose.go
@@ -27,7 +27,7 @@
 	poorCost = 2.2
 	// subsetSize is the number of upstreams of a service in the failure domain that a VM uses. It holds enough to find a
 	// calm one while some have failed.
-	subsetSize = 8
+	subsetSize = 16
 	// pollInterval is the time between two looks for a free upstream by a waiting request.
 	pollInterval = 12 * time.Millisecond
 	// inTime is the share of a rule's target by which an expected end counts as in time.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -137,7 +137,7 @@
 	g.exchange = exchange.NewWithDialect(g.connections, g.config.Upstreams)
 	g.sampler = sampler.New(g.exchange, g.conditions)
 	g.mirror = mirror.New(mirror.Config{
-		Store: g.config.Store, Decode: g.config.Decode, Peer: g.peer, Relay: g.relay, Roster: g.roster, Fleet: g.fleet,
+		Store: g.config.Store, Decode: g.config.Decode, Peers: g.follow, Relay: g.relay, Roster: g.roster, Fleet: g.fleet,
 		Changed: g.share, Log: g.log,
 	})
 	metrics := telemetry.New(g.sources())
@@ -189,13 +189,18 @@
 	return !g.leaving.Load() && g.mirror.Rules() != nil && g.roster.Len() > 0
 }
 
-// peer returns the VM to follow in place of the store, or nil if this VM watches the store for its failure domain.
-func (g *Gateway) peer() mirror.Source {
-	vm, ok := g.fleet.Reader()
-	if !ok || vm.Name == g.fleet.Self().Name || vm.PeerAddress == "" {
-		return nil
+// follow returns the VMs to follow in place of the store; there are none if this VM watches it for its failure domain.
+func (g *Gateway) follow() []mirror.Peer {
+	var peers []mirror.Peer
+	for _, vm := range g.fleet.Readers() {
+		if vm.Name == g.fleet.Self().Name {
+			break
+		}
+		if vm.PeerAddress != "" {
+			peers = append(peers, mirror.Peer{Name: vm.Name, Source: relay.NewPeer(g.peers, vm.PeerAddress)})
+		}
 	}
-	return relay.NewPeer(g.peers, vm.PeerAddress)
+	return peers
 }
 
 // find returns the addresses for a caller.
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -33,8 +33,13 @@
 	outageAfter = time.Second
 	// maxAge is the age of a peer's knowledge above which the peer counts as failed.
 	maxAge = watchWait + watchSlack
-	// directTime is the time for which the store is asked directly after a peer failed.
-	directTime = 4 * time.Second
+	// followerPause is the longest pause after a failed call of a VM that has peers to follow. Only the VMs that watch the
+	// store look for its return often.
+	followerPause = time.Second
+	// checkAge is the age of the own knowledge above which the store is asked after a peer has failed.
+	checkAge = 300 * time.Millisecond
+	// peerPause is the time for which a peer that failed is not followed.
+	peerPause = 2 * time.Second
 )
 
 // Config holds what a mirror works with.
@@ -42,8 +47,9 @@
 	// Store is the source that is always right, and Decode reads its entries.
 	Store  Source
 	Decode func(e Entry, now time.Time) []Change
-	// Peer returns a VM to follow in place of the store, or nil.
-	Peer func() Source
+	// Peers returns the VMs to follow in place of the store, the preferred one first; there are none if this VM watches
+	// the store itself.
+	Peers func() []Peer
 	// Relay takes what is heard, for the VMs that follow this one.
 	Relay  Relay
 	Roster *roster.Roster
@@ -61,6 +67,14 @@
 	Lost()
 }
 
+// Peer is a VM that may be followed.
+type Peer struct {
+	// Name identifies the VM.
+	Name string
+	// Source is what it has heard.
+	Source Source
+}
+
 // Mirror is the kernel service that follows the store.
 type Mirror struct {
 	config Config
@@ -69,15 +83,15 @@
 	heard atomic.Int64
 	start time.Time
 	lost  bool
-	// directTo is the time until which the store is asked directly.
-	directTo time.Time
+	// failedTo holds the times until which peers that failed are not followed.
+	failedTo map[string]time.Time
 	cancel   context.CancelFunc
 	ended    sync.WaitGroup
 }
 
 // New returns a mirror that knows nothing.
 func New(c Config) *Mirror {
-	return &Mirror{config: c, start: time.Now()}
+	return &Mirror{config: c, start: time.Now(), failedTo: make(map[string]time.Time)}
 }
 
 // Rules returns the rules in force, or nil if none are known yet.
@@ -107,50 +121,74 @@
 
 // follow reads all entries and then watches, until ctx is done.
 func (m *Mirror) follow(ctx context.Context) {
-	pause := backoff.New(minPause, maxPause)
+	watcher, follower := backoff.New(minPause, maxPause), backoff.New(minPause, followerPause)
 	revision, known := uint64(0), false
 	for ctx.Err() == nil {
-		source, isPeer := m.source(known)
-		b, err := m.hear(ctx, source, revision, known)
+		peer, wait, isFollower := m.next(known)
+		source := m.config.Store
+		if peer != nil {
+			source = peer.Source
+		}
+		b, err := m.hear(ctx, source, revision, known, wait)
 		switch {
 		case err == nil:
-			pause.Reset()
+			watcher.Reset()
+			follower.Reset()
 			revision, known = max(b.Revision, revision), true
 			if len(b.Entries) > 0 {
 				backoff.Sleep(ctx, gather)
 			}
-		case isPeer:
-			// The store is asked at once, from the same revision.
-			m.directTo = time.Now().Add(directTime)
-			m.config.Log.WithError(err).Info("peer failed, following the store")
+		case peer != nil:
+			m.failedTo[peer.Name] = time.Now().Add(peerPause)
+			m.config.Log.WithError(err).WithField("peer", peer.Name).Info("peer failed")
 		case errors.Is(err, ErrForgotten):
 			// The store answers, so there is nothing to wait for.
 			m.config.Log.WithField("revision", revision).Info("history of the store is gone, reading all entries")
 			known = false
 		default:
-			known = false
 			m.failed(ctx, err)
-			pause.Wait(ctx)
+			known = known && !m.lost
+			if isFollower {
+				follower.Wait(ctx)
+			} else {
+				watcher.Wait(ctx)
+			}
 		}
 	}
 }
 
-// source returns where to listen next. What was never read, or was lost, comes from the store.
-func (m *Mirror) source(known bool) (source Source, isPeer bool) {
-	if !known || time.Now().Before(m.directTo) {
-		return m.config.Store, false
+// next returns the peer to follow, or nil for the store, and how long to wait for changes. After a peer has failed, the
+// store is asked once without a wait before the next peer is followed.
+func (m *Mirror) next(known bool) (peer *Peer, wait time.Duration, isFollower bool) {
+	peers, now := m.config.Peers(), time.Now()
+	if !known || len(peers) == 0 {
+		return nil, watchWait, len(peers) > 0
 	}
-	if p := m.config.Peer(); p != nil {
-		return p, true
+	alive := 0
+	for i, p := range peers {
+		if to, failed := m.failedTo[p.Name]; !failed || now.After(to) {
+			delete(m.failedTo, p.Name)
+			alive++
+			if peer == nil {
+				peer = &peers[i]
+			}
+		}
+	}
+	switch {
+	case peer == nil:
+		return nil, watchWait, true
+	case alive < len(peers) && m.Age() > checkAge:
+		return nil, 0, true
+	default:
+		return peer, watchWait, true
 	}
-	return m.config.Store, false
 }
 
 // hear reads all entries or waits for changes, and takes them over.
-func (m *Mirror) hear(ctx context.Context, source Source, revision uint64, known bool) (Batch, error) {
+func (m *Mirror) hear(ctx context.Context, source Source, revision uint64, known bool, wait time.Duration) (Batch, error) {
 	timeout := readTimeout
-	if known {
-		timeout = watchWait + watchSlack
+	if known && wait > 0 {
+		timeout = wait + watchSlack
 	}
 	call, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -158,7 +196,7 @@
 	var b Batch
 	var err error
 	if known {
-		b, err = source.Watch(call, revision, watchWait)
+		b, err = source.Watch(call, revision, wait)
 	} else {
 		b, err = source.Snapshot(call)
 	}
