Use leases of 3 s for fleets of all sizes

Cause: leases that follow the size of the fleet cost a second registration of each VM at the start. Change: one lifetime.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -150,8 +150,7 @@
 		}),
 		Rules: g.mirror.Rules, RulesAge: g.mirror.Age, Pick: g.splitter.Pick, Metrics: metrics, Log: g.log,
 	})
-	g.register = registration.New(g.config.Store, g.fleet.Self(), g.isReady, g.fleet.IsListed,
-		func() int { return len(g.fleet.List()) }, g.log)
+	g.register = registration.New(g.config.Store, g.fleet.Self(), g.isReady, g.fleet.IsListed, g.log)
 	g.kernel.Register("mirror", g.mirror)
 	g.kernel.Register("housekeeping", kernel.NewDuty(g.keepHouse))
 	if l.metrics != nil {
--- a/registration/registration.go
+++ b/registration/registration.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"sync"
 	"time"
 
@@ -14,13 +13,8 @@
 )
 
 const (
-	// minLifetime is the time after which the entry of a dead VM ends in a small fleet. Callers are sent to a dead VM for
-	// as long.
-	minLifetime = 1800 * time.Millisecond
-	// maxLifetime is the same in a large one, where a dead VM matters less and renewals cost more.
-	maxLifetime = 4500 * time.Millisecond
-	// smallFleet is the number of VMs up to which the lifetime is the least.
-	smallFleet = 20
+	// lifetime is the time after which the entry of a dead VM ends. Callers are sent to a dead VM for as long.
+	lifetime = 3 * time.Second
 	// renewals is the number of renewals in a lifetime; all but one may fail.
 	renewals = 3
 	// listing is the time after a registration in which the own view of the store catches up with it.
@@ -55,8 +49,6 @@
 	log   *logrus.Entry
 	// ready tells whether the VM may be registered yet, and listed whether the store is seen to list it.
 	ready, listed func() bool
-	// vms returns the number of VMs of the fleet.
-	vms func() int
 
 	cancel context.CancelFunc
 	leave  sync.Once
@@ -65,15 +57,8 @@
 
 // New returns a registration of the VM that begins once ready returns true. The function listed tells whether the VM is
 // seen in the store: an entry may be taken away although its lease lives.
-// The lifetime of the lease grows with the number of VMs, so that renewals grow more slowly than the fleet.
-func New(store Store, vm fleet.VM, ready, listed func() bool, vms func() int, log *logrus.Entry) *Registration {
-	return &Registration{store: store, vm: vm, ready: ready, listed: listed, vms: vms, log: log}
-}
-
-// lifetime returns the lifetime of a lease in a fleet of the present size.
-func (r *Registration) lifetime() time.Duration {
-	growth := math.Sqrt(float64(r.vms()) / smallFleet)
-	return min(max(time.Duration(growth*float64(minLifetime)), minLifetime), maxLifetime)
+func New(store Store, vm fleet.VM, ready, listed func() bool, log *logrus.Entry) *Registration {
+	return &Registration{store: store, vm: vm, ready: ready, listed: listed, log: log}
 }
 
 // Start begins to register the VM.
@@ -106,8 +91,7 @@
 			backoff.Sleep(ctx, minPause)
 			continue
 		}
-		lifetime := r.lifetime()
-		lease, err := r.register(ctx, lifetime)
+		lease, err := r.register(ctx)
 		if err != nil {
 			r.log.WithError(err).Debug("registration failed")
 			pause.Wait(ctx)
@@ -115,18 +99,14 @@
 		}
 		pause.Reset()
 		r.log.WithField("lease", lease).Info("VM registered itself")
-		r.hold(ctx, lease, lifetime)
+		r.hold(ctx, lease)
 	}
 }
 
 // hold renews the lease until it has ended or ctx is done, and then releases it.
-func (r *Registration) hold(ctx context.Context, lease Lease, lifetime time.Duration) {
+func (r *Registration) hold(ctx context.Context, lease Lease) {
 	began := time.Now()
 	for backoff.Sleep(ctx, lifetime/renewals) {
-		if r.lifetime() > 3*lifetime/2 {
-			// The fleet has grown. The entry moves to a new lease and the old one ends by itself.
-			return
-		}
 		if time.Since(began) > listing && !r.listed() {
 			r.log.WithField("lease", lease).Warn("entry is gone, registering again")
 			return
@@ -146,7 +126,7 @@
 	}
 }
 
-func (r *Registration) register(ctx context.Context, lifetime time.Duration) (Lease, error) {
+func (r *Registration) register(ctx context.Context) (Lease, error) {
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	return r.store.Register(call, r.vm, lifetime)
