--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -76,6 +76,8 @@
 	relay      *relay.Log
 	peers      *http.Client
 	leaving    atomic.Bool
+
+	directoryAddress, readyAddress string
 }
 
 // listeners are the open sockets of a process.
@@ -93,16 +95,20 @@
 	}
 	g.settings.Store(s)
 	g.log = g.book.Entry(logrus.Fields{"vm": s.Name, "failure-domain": s.FailureDomain})
-	g.fleet = fleet.New(fleet.VM{
-		Name: s.Name, Incarnation: rand.Text(), Address: s.Address, PeerAddress: s.PeerAddress,
-		FailureDomain: s.FailureDomain,
-	})
 	l, err := listen(s)
 	if err != nil {
 		g.log.WithError(err).Error("process can't start")
 		g.book.Close()
 		return nil, err
 	}
+	self := fleet.VM{
+		Name: s.Name, Incarnation: rand.Text(), Address: l.callers.Addr().String(), FailureDomain: s.FailureDomain,
+	}
+	if l.peers != nil {
+		self.PeerAddress = l.peers.Addr().String()
+	}
+	g.fleet = fleet.New(self)
+	g.directoryAddress, g.readyAddress = l.directory.Addr().String(), l.ready.Addr().String()
 	g.build(l)
 	return g, nil
 }
@@ -211,13 +217,43 @@
 	return a, len(a.Addresses) > 0
 }
 
+// VM returns the VM as it registers itself, with the addresses that it listens on.
+func (g *Gateway) VM() fleet.VM { return g.fleet.Self() }
+
+// DirectoryAddress returns the address for callers that ask for addresses.
+func (g *Gateway) DirectoryAddress() string { return g.directoryAddress }
+
+// ReadyAddress returns the address for readiness checks.
+func (g *Gateway) ReadyAddress() string { return g.readyAddress }
+
+// Start starts the services and returns once they run; Close ends them.
+func (g *Gateway) Start(ctx context.Context) error {
+	ended := make(chan error, 1)
+	go func() { ended <- g.kernel.Start(ctx) }()
+	select {
+	case <-g.kernel.Running():
+		return nil
+	case err := <-ended:
+		return err
+	}
+}
+
+// Close ends the services without a drain.
+func (g *Gateway) Close(ctx context.Context) error {
+	err := g.kernel.Stop(ctx)
+	g.exchange.Close()
+	g.peers.CloseIdleConnections()
+	g.book.Close()
+	return err
+}
+
 // Run runs the process until it is told to stop by SIGTERM or SIGINT, or until a service fails.
 func (g *Gateway) Run() error {
 	s := g.settings.Load()
 	app := kratos.New(
 		kratos.ID(g.fleet.Self().Incarnation), kratos.Name("fulmarhitch"), kratos.Logger(logbook.Frame{Entry: g.log}),
 		kratos.Server(g.kernel), kratos.Signal(syscall.SIGTERM, os.Interrupt), kratos.StopTimeout(s.StopTimeout),
-		kratos.BeforeStop(g.drain),
+		kratos.BeforeStop(g.Drain),
 	)
 	g.log.WithFields(logrus.Fields{"address": s.Address, "incarnation": g.fleet.Self().Incarnation}).Info("process starts")
 	err := app.Run()
@@ -239,9 +275,9 @@
 	drainCheck = 20 * time.Millisecond
 )
 
-// drain is the first part of a planned stop. Callers are told to go elsewhere, and those that still come are served
+// Drain is the first part of a planned stop. Callers are told to go elsewhere, and those that still come are served
 // until the end is near.
-func (g *Gateway) drain(context.Context) error {
+func (g *Gateway) Drain(context.Context) error {
 	began := time.Now()
 	g.leaving.Store(true)
 	g.fleet.Leave()
--- a/ingress/handle.go
+++ b/ingress/handle.go
@@ -93,6 +93,8 @@
 	}
 	body, f := s.body(w, h, set, deadline)
 	if f != nil {
+		// The rest of the body is not waited for, so nothing else can be read from the connection.
+		w.Header().Set("Connection", "close")
 		return none, f
 	}
 	service := s.config.Pick(rule)
