--- /dev/null
+++ b/crash/guard_test.go
@@ -0,0 +1,77 @@
+package crash_test
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/fulmarhitch/fulmarhitch/crash"
+	"github.com/fulmarhitch/fulmarhitch/quarantine"
+	"github.com/fulmarhitch/fulmarhitch/request"
+	"github.com/fulmarhitch/fulmarhitch/roster"
+)
+
+// relay passes deaths on to another guard.
+type relay struct {
+	to *crash.Guard
+}
+
+func (r *relay) ReportDeath(_ context.Context, fingerprint, death uint64, _ time.Duration) error {
+	r.to.Learn(quarantine.Entry{Fingerprint: fingerprint, Death: death, At: time.Now()})
+	return nil
+}
+
+func quiet() *logrus.Entry {
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	return logrus.NewEntry(l)
+}
+
+// TestGuard guards against a request that comes again at every VM and crashes an upstream each time, and against
+// innocent requests that are refused because an upstream died under them.
+func TestGuard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		toFirst := &relay{}
+		second := crash.New(toFirst, quiet())
+		first := crash.New(&relay{to: second}, quiet())
+		toFirst.to = first
+		go first.Report(ctx)
+		go second.Report(ctx)
+
+		bad := &request.Request{ID: "1", Service: "s", Path: "/bad", Body: []byte("x")}
+		good := &request.Request{ID: "2", Service: "s", Path: "/good"}
+		for i, g := range []*crash.Guard{first, second} {
+			if g.IsQuarantined(bad) {
+				t.Errorf("quarantined after %d deaths", i)
+			}
+			up := roster.Upstream{ID: string(rune('a' + i))}
+			g.Died(bad, up)
+			g.Died(good, up)
+			if i == 0 {
+				g.Answered(good)
+				second.Answered(good)
+			}
+			time.Sleep(time.Second)
+			synctest.Wait()
+		}
+		for name, g := range map[string]*crash.Guard{"first": first, "second": second} {
+			if !g.IsQuarantined(bad) {
+				t.Errorf("%s VM lets a request through that crashed two upstreams", name)
+			}
+		}
+		if second.Answered(good); second.IsQuarantined(good) {
+			t.Error("a request that was answered is in quarantine")
+		}
+		time.Sleep(quarantine.Span)
+		if first.IsQuarantined(bad) {
+			t.Error("the quarantine doesn't end")
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/forwarder/config.go
+++ b/forwarder/config.go
@@ -48,6 +48,8 @@
 	IsQuarantined(r *request.Request) bool
 	// Died takes a request whose upstream died while it ran.
 	Died(r *request.Request, up roster.Upstream)
+	// Answered takes a request that an upstream has answered.
+	Answered(r *request.Request)
 }
 
 // Attempt is one send of a request, for logs.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -191,7 +191,8 @@
 	if _, notRun := res.Outcome.(outcome.NotRun); notRun {
 		return true
 	}
-	return r.mayRepeat()
+	// A request under which an upstream died may be what killed it.
+	return r.mayRepeat() && res.Class != exchange.Died
 }
 
 // mayRepeat tells whether the request may be sent again although it may have run.
@@ -248,6 +249,9 @@
 	switch res.Class {
 	case exchange.Answered:
 		failed = res.Outcome.(outcome.Answered).Status >= http.StatusInternalServerError
+		if r.config.Quarantine != nil {
+			r.config.Quarantine.Answered(r.job.Request)
+		}
 	case exchange.Refused, exchange.Lost, exchange.Truncated, exchange.Mismatched, exchange.TimedOut:
 		failed = true
 	case exchange.Died:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/fulmarhitch/fulmarhitch/condition"
+	"github.com/fulmarhitch/fulmarhitch/crash"
 	"github.com/fulmarhitch/fulmarhitch/directory"
 	"github.com/fulmarhitch/fulmarhitch/exchange"
 	"github.com/fulmarhitch/fulmarhitch/fleet"
@@ -24,6 +25,7 @@
 	"github.com/fulmarhitch/fulmarhitch/kernel"
 	"github.com/fulmarhitch/fulmarhitch/logbook"
 	"github.com/fulmarhitch/fulmarhitch/mirror"
+	"github.com/fulmarhitch/fulmarhitch/quarantine"
 	"github.com/fulmarhitch/fulmarhitch/registration"
 	"github.com/fulmarhitch/fulmarhitch/relay"
 	"github.com/fulmarhitch/fulmarhitch/roster"
@@ -36,6 +38,7 @@
 type Store interface {
 	mirror.Source
 	registration.Store
+	crash.Store
 }
 
 // Config holds what a gateway is made of besides its settings.
@@ -74,6 +77,7 @@
 	ingress    *ingress.Server
 	register   *registration.Registration
 	relay      *relay.Log
+	crashes    *crash.Guard
 	peers      *http.Client
 	leaving    atomic.Bool
 
@@ -142,9 +146,12 @@
 	s := g.settings.Load()
 	g.exchange = exchange.NewWithDialect(g.connections, g.config.Upstreams)
 	g.sampler = sampler.New(g.exchange, g.conditions)
+	g.crashes = crash.New(g.config.Store, g.log)
 	g.mirror = mirror.New(mirror.Config{
 		Store: g.config.Store, Decode: g.config.Decode, Peers: g.follow, Relay: g.relay, Roster: g.roster, Fleet: g.fleet,
-		Changed: g.share, Log: g.log,
+		Changed: g.share, Log: g.log, Died: func(fingerprint, death uint64) {
+			g.crashes.Learn(quarantine.Entry{Fingerprint: fingerprint, Death: death, At: time.Now()})
+		},
 	})
 	metrics := telemetry.New(g.sources())
 	g.ingress = ingress.New(l.callers, ingress.Config{
@@ -152,12 +159,13 @@
 		Forwarder: forwarder.New(forwarder.Config{
 			VM: s.Name, FailureDomain: s.FailureDomain, Roster: g.roster, Conditions: g.conditions, Upstreams: g.exchange,
 			Sampler: g.sampler, Retries: g.retries, Times: forwarder.NewTimes(),
-			Pressure: forwarder.NewPressure(),
+			Pressure: forwarder.NewPressure(), Quarantine: g.crashes,
 		}),
 		Rules: g.mirror.Rules, RulesAge: g.mirror.Age, Pick: g.splitter.Pick, Metrics: metrics, Log: g.log,
 	})
 	g.register = registration.New(g.config.Store, g.fleet.Self(), g.isReady, g.fleet.IsListed, g.log)
 	g.kernel.Register("mirror", g.mirror)
+	g.kernel.Register("crash-reports", kernel.NewDuty(g.crashes.Report))
 	g.kernel.Register("housekeeping", kernel.NewDuty(g.keepHouse))
 	if l.metrics != nil {
 		g.kernel.Register("metrics", newEndpoint(l.metrics, metrics.Handler()))
--- a/mirror/change.go
+++ b/mirror/change.go
@@ -44,6 +44,11 @@
 	Name string
 }
 
+// DeathPut says that an upstream died while it ran a request.
+type DeathPut struct {
+	Fingerprint, Death uint64
+}
+
 // Unreadable says that an entry could not be decoded.
 type Unreadable struct {
 	Key string
@@ -55,6 +60,7 @@
 func (UpstreamGone) isChange() {}
 func (VMPut) isChange()        {}
 func (VMGone) isChange()       {}
+func (DeathPut) isChange()     {}
 func (Unreadable) isChange()   {}
 
 // Entry is one entry of the store, or its removal.
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -54,6 +54,8 @@
 	Relay  Relay
 	Roster *roster.Roster
 	Fleet  *fleet.Fleet
+	// Died takes the deaths of upstreams that other VMs have seen.
+	Died func(fingerprint, death uint64)
 	// Changed is called after the view has changed.
 	Changed func()
 	Log     *logrus.Entry
@@ -264,6 +266,8 @@
 			vms = append(vms, c.VM)
 		case RulesPut:
 			m.install(c.Set)
+		case DeathPut:
+			m.config.Died(c.Fingerprint, c.Death)
 		case Unreadable:
 			m.unreadable(c)
 		case UpstreamGone, VMGone:
@@ -299,6 +303,8 @@
 			if m.config.Fleet.Remove(c.Name, now) {
 				m.config.Log.WithField("peer", c.Name).Info("VM gone")
 			}
+		case DeathPut:
+			m.config.Died(c.Fingerprint, c.Death)
 		case Unreadable:
 			m.unreadable(c)
 		}
