Let one VM watch the store for up to 120 VMs

Ruled out: readers that follow readers (their ages add up beyond the 1.4 s in which a lost watch is noticed). Change: the VMs with the lowest hashes watch, one for each 120 VMs, the next in order takes over; changes at the start are gathered for 0.5 s.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -12,8 +12,9 @@
 	"github.com/fulmarhitch/fulmarhitch/lapse"
 )
 
-// readers is the number of VMs of a failure domain that may watch the store for the others.
-const readers = 2
+// perReader is the number of VMs for which one VM watches the store: each asks it once a second, which together takes a
+// few percent of a small core.
+const perReader = 120
 
 // VM is one process of the system that serves callers.
 type VM struct {
@@ -31,9 +32,11 @@
 type Fleet struct {
 	self VM
 
-	mu      sync.RWMutex
-	vms     *lapse.Set[VM]
-	list    []VM
+	mu   sync.RWMutex
+	vms  *lapse.Set[VM]
+	list []VM
+	// order is the list by the hashes of the incarnations.
+	order   []VM
 	leaving bool
 }
 
@@ -123,20 +126,25 @@
 	return f.list
 }
 
-// Readers returns the VMs of the own failure domain that watch the store for the others: the first one while it lives,
-// the second one while the first is not heard. They have the lowest hashes of their incarnations, so that the duty moves
-// when a process ends.
+// Readers returns the VMs that the own VM asks for changes in place of the store, the preferred one first; there are none
+// if it watches the store for others. The VMs with the lowest hashes of their incarnations watch, so that the duty moves
+// when a process ends, and the next in order takes over for one that is not heard.
 func (f *Fleet) Readers() []VM {
-	var near []VM
-	for _, vm := range f.List() {
-		if vm.FailureDomain == f.self.FailureDomain {
-			near = append(near, vm)
-		}
+	f.mu.RLock()
+	list := f.order
+	f.mu.RUnlock()
+	watching := (len(list) + perReader - 1) / perReader
+	rank := slices.IndexFunc(list, func(vm VM) bool { return vm.Name == f.self.Name })
+	if rank < watching {
+		// A VM that leaves is not in the list and asks the store itself.
+		return nil
 	}
-	slices.SortFunc(near, func(a, b VM) int {
-		return cmp.Compare(xxhash.Sum64String(a.Incarnation), xxhash.Sum64String(b.Incarnation))
-	})
-	return near[:min(len(near), readers)]
+	first := rank % watching
+	second := (first + 1) % max(watching, 2)
+	if second == rank {
+		return list[first : first+1]
+	}
+	return []VM{list[first], list[second]}
 }
 
 // rebuild makes the list; the caller holds mu, except in New.
@@ -151,5 +159,8 @@
 		list = append(list, f.self)
 	}
 	slices.SortFunc(list, func(a, b VM) int { return strings.Compare(a.Name, b.Name) })
-	f.list = list
+	f.list, f.order = list, slices.Clone(list)
+	slices.SortFunc(f.order, func(a, b VM) int {
+		return cmp.Compare(xxhash.Sum64String(a.Incarnation), xxhash.Sum64String(b.Incarnation))
+	})
 }
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,66 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fulmarhitch/fulmarhitch/fleet"
+)
+
+// TestReaders guards against a fleet in which nobody watches the store, in which VMs follow each other in a ring, and in
+// which the watches grow as fast as the fleet.
+func TestReaders(t *testing.T) {
+	tests := map[string]struct{ vms, watching int }{
+		"one VM":    {1, 1},
+		"two VMs":   {2, 1},
+		"14 VMs":    {14, 1},
+		"111 VMs":   {111, 1},
+		"1,000 VMs": {1000, 9},
+	}
+	for name, test := range tests {
+		Convey("Given "+name, t, func() {
+			var all []*fleet.Fleet
+			for i := range test.vms {
+				vm := fleet.VM{Name: fmt.Sprintf("vm-%d", i), Incarnation: fmt.Sprint(i * 7919)}
+				all = append(all, fleet.New(vm))
+			}
+			var list []fleet.VM
+			for _, f := range all {
+				list = append(list, f.Self())
+			}
+			for _, f := range all {
+				f.Replace(list, time.Unix(100, 0))
+			}
+			watching := make(map[string]bool)
+			for _, f := range all {
+				if len(f.Readers()) == 0 {
+					watching[f.Self().Name] = true
+				}
+			}
+			So(len(watching), ShouldEqual, test.watching)
+			for _, f := range all {
+				if readers := f.Readers(); len(readers) > 0 {
+					So(watching[readers[0].Name], ShouldBeTrue)
+					for _, r := range readers {
+						So(r.Name, ShouldNotEqual, f.Self().Name)
+					}
+				}
+			}
+		})
+	}
+}
+
+// TestLeave guards against a VM that leaves and is still told to callers.
+func TestLeave(t *testing.T) {
+	Convey("Given a VM that leaves", t, func() {
+		f := fleet.New(fleet.VM{Name: "a"})
+		f.Put(fleet.VM{Name: "b"})
+		So(f.List(), ShouldHaveLength, 2)
+		f.Leave()
+		So(f.List(), ShouldResemble, []fleet.VM{{Name: "b"}})
+		So(f.Readers(), ShouldBeEmpty)
+	})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -202,13 +202,10 @@
 	return !g.leaving.Load() && g.mirror.Rules() != nil && g.roster.Len() > 0
 }
 
-// follow returns the VMs to follow in place of the store; there are none if this VM watches it for its failure domain.
+// follow returns the VMs to follow in place of the store; there are none if this VM watches it for others.
 func (g *Gateway) follow() []mirror.Peer {
 	var peers []mirror.Peer
 	for _, vm := range g.fleet.Readers() {
-		if vm.Name == g.fleet.Self().Name {
-			break
-		}
 		if vm.PeerAddress != "" {
 			peers = append(peers, mirror.Peer{Name: vm.Name, Source: relay.NewPeer(g.peers, vm.PeerAddress)})
 		}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -26,6 +26,10 @@
 	readTimeout = 900 * time.Millisecond
 	// gather is the pause after a watch that returned changes, so that a series of changes costs few calls.
 	gather = 200 * time.Millisecond
+	// gatherAtStart is the same while the fleet starts and all its VMs and upstreams register themselves.
+	gatherAtStart = 500 * time.Millisecond
+	// startTime is the time for which a process counts as starting.
+	startTime = 3 * time.Second
 	// minPause and maxPause bound the pause after a failed call.
 	minPause = 100 * time.Millisecond
 	maxPause = 250 * time.Millisecond
@@ -138,7 +142,7 @@
 			follower.Reset()
 			revision, known = max(b.Revision, revision), true
 			if len(b.Entries) > 0 {
-				backoff.Sleep(ctx, gather)
+				m.gather(ctx)
 			}
 		case peer != nil:
 			m.failedTo[peer.Name] = time.Now().Add(peerPause)
@@ -159,6 +163,15 @@
 	}
 }
 
+// gather pauses after changes.
+func (m *Mirror) gather(ctx context.Context) {
+	if time.Since(m.start) < startTime {
+		backoff.Sleep(ctx, gatherAtStart)
+		return
+	}
+	backoff.Sleep(ctx, gather)
+}
+
 // next returns the peer to follow, or nil for the store, and how long to wait for changes. After a peer has failed, the
 // store is asked once without a wait before the next peer is followed.
 func (m *Mirror) next(known bool) (peer *Peer, wait time.Duration, isFollower bool) {
