--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: test format lint unit race demo generate build measure measure-added
+.PHONY: test format lint unit race demo demo-platform generate build measure measure-added
 
 # The Go files that gofmt checks; generated code is included because the generators format it.
 GO_FILES := $(shell git ls-files -co --exclude-standard '*.go')
@@ -30,6 +30,9 @@
 demo: build
 	./bin/demo
 
+demo-platform: build
+	./bin/demo-platform
+
 measure: build
 	./bin/measure
 
