--- /dev/null
+++ b/mirror/mirror_test.go
@@ -0,0 +1,160 @@
+package mirror_test
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/fulmarhitch/fulmarhitch/fleet"
+	"github.com/fulmarhitch/fulmarhitch/mirror"
+	"github.com/fulmarhitch/fulmarhitch/roster"
+	"github.com/fulmarhitch/fulmarhitch/ruleset"
+)
+
+var errDown = errors.New("the source is down")
+
+// source is a store, or a VM that knows it, whose only entry is a version of the rules.
+type source struct {
+	mu       sync.Mutex
+	version  uint64
+	age      time.Duration
+	down     bool
+	silent   bool
+	deaf     bool
+	calls    int
+	snapshot int
+}
+
+func (s *source) set(change func(*source)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(s)
+}
+
+func (s *source) Snapshot(ctx context.Context) (mirror.Batch, error) {
+	s.set(func(s *source) { s.snapshot++ })
+	b, err := s.Watch(ctx, 0, 0)
+	b.Whole = true
+	return b, err
+}
+
+func (s *source) Watch(ctx context.Context, after uint64, wait time.Duration) (mirror.Batch, error) {
+	s.set(func(s *source) { s.calls++ })
+	end := time.Now().Add(wait)
+	for {
+		s.mu.Lock()
+		version, age, down, silent, deaf := s.version, s.age, s.down, s.silent, s.deaf
+		s.mu.Unlock()
+		switch {
+		case ctx.Err() != nil:
+			return mirror.Batch{}, ctx.Err()
+		case silent:
+		case down:
+			return mirror.Batch{}, errDown
+		case version > after && !deaf:
+			return mirror.Batch{Entries: []mirror.Entry{{Key: "rules", Revision: version}}, Revision: version, Age: age}, nil
+		case !time.Now().Before(end):
+			return mirror.Batch{Revision: after, Age: age}, nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// relay drops what it is told.
+type relay struct{}
+
+func (relay) Take(mirror.Batch, time.Time) {}
+func (relay) Lost()                        {}
+
+func decode(e mirror.Entry, _ time.Time) []mirror.Change {
+	return []mirror.Change{mirror.RulesPut{Set: ruleset.New(e.Revision, nil, nil, ruleset.Limits{})}}
+}
+
+// inForce is the time in which a configuration has to be in force.
+const inForce = 2 * time.Second
+
+// TestFollow guards against a configuration that is late although the store has it, whatever happens to the sources, and
+// against a VM that goes back to an older one.
+func TestFollow(t *testing.T) {
+	all := func(sources []*source, change func(*source)) {
+		for _, s := range sources {
+			s.set(change)
+		}
+	}
+	tests := map[string]struct {
+		peers int
+		fault func(store *source, peers []*source)
+	}{
+		"the store alone":          {0, func(*source, []*source) {}},
+		"a peer":                   {1, func(*source, []*source) {}},
+		"a peer that is down":      {2, func(_ *source, p []*source) { p[0].set(func(s *source) { s.down = true }) }},
+		"a silent peer":            {2, func(_ *source, p []*source) { p[0].set(func(s *source) { s.silent = true }) }},
+		"two silent peers":         {2, func(_ *source, p []*source) { all(p, func(s *source) { s.silent = true }) }},
+		"peers that know old news": {2, func(_ *source, p []*source) { all(p, func(s *source) { s.deaf, s.age = true, 1500*time.Millisecond }) }},
+		"a store that is gone":     {1, func(store *source, _ []*source) { store.set(func(s *source) { s.down = true }) }},
+	}
+	for name, test := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			store := &source{version: 5}
+			sources := []*source{store}
+			var peers []mirror.Peer
+			for i := range test.peers {
+				p := &source{version: 5}
+				sources = append(sources, p)
+				peers = append(peers, mirror.Peer{Name: string(rune('a' + i)), Source: p})
+			}
+			log := logrus.New()
+			log.SetOutput(io.Discard)
+			m := mirror.New(mirror.Config{
+				Store: store, Decode: decode, Peers: func() []mirror.Peer { return peers }, Relay: relay{}, Roster: roster.New(),
+				Fleet: fleet.New(fleet.VM{}), Changed: func() {}, Log: logrus.NewEntry(log),
+			})
+			_ = m.Start(t.Context())
+			time.Sleep(5 * time.Second)
+			test.fault(store, sources[1:])
+			all(sources, func(s *source) { s.version = 9 })
+			time.Sleep(inForce)
+			if set := m.Rules(); set == nil || set.Version != 9 {
+				t.Errorf("%s: rules %+v", name, set)
+			}
+			all(sources, func(s *source) { s.version, s.down, s.silent, s.deaf, s.age = 7, false, false, false, 0 })
+			time.Sleep(5 * time.Second)
+			if set := m.Rules(); set.Version != 9 {
+				t.Errorf("%s: went back to version %d", name, set.Version)
+			}
+			_ = m.Stop(t.Context())
+		})
+	}
+}
+
+// TestCalls guards against calls of the store by VMs that follow a peer, and against many calls while it is down.
+func TestCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, peer := &source{version: 5}, &source{version: 5}
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		m := mirror.New(mirror.Config{
+			Store: store, Decode: decode, Peers: func() []mirror.Peer { return []mirror.Peer{{Name: "p", Source: peer}} },
+			Relay: relay{}, Roster: roster.New(), Fleet: fleet.New(fleet.VM{}), Changed: func() {}, Log: logrus.NewEntry(log),
+		})
+		_ = m.Start(t.Context())
+		time.Sleep(30 * time.Second)
+		if store.calls > 1 {
+			t.Errorf("%d calls of the store while a peer is followed", store.calls)
+		}
+		store.set(func(s *source) { s.down = true })
+		peer.set(func(s *source) { s.down = true })
+		before := store.calls
+		time.Sleep(20 * time.Second)
+		if n := store.calls - before; n > 45 {
+			t.Errorf("%d calls in 20 s of an outage", n)
+		}
+		_ = m.Stop(t.Context())
+	})
+}
--- /dev/null
+++ b/registration/registration_test.go
@@ -0,0 +1,110 @@
+package registration_test
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/fulmarhitch/fulmarhitch/fleet"
+	"github.com/fulmarhitch/fulmarhitch/registration"
+)
+
+// store holds one registration.
+type store struct {
+	mu            sync.Mutex
+	lease         registration.Lease
+	registrations int
+	renewals      int
+	released      bool
+	down          bool
+	ended         bool
+}
+
+var errDown = errors.New("the store is down")
+
+func (s *store) Register(context.Context, fleet.VM, time.Duration) (registration.Lease, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return 0, errDown
+	}
+	s.lease++
+	s.registrations++
+	s.ended = false
+	return s.lease, nil
+}
+
+func (s *store) Renew(context.Context, registration.Lease) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.renewals++
+	switch {
+	case s.down:
+		return errDown
+	case s.ended:
+		return registration.ErrEnded
+	}
+	return nil
+}
+
+func (s *store) Release(context.Context, registration.Lease) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.released = true
+	return nil
+}
+
+// TestRegistration guards against a VM that stays out of the fleet, or is registered although it isn't ready or leaves.
+func TestRegistration(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	tests := map[string]struct {
+		change        func(s *store, ready, listed *bool)
+		registrations int
+	}{
+		"all is well":            {func(*store, *bool, *bool) {}, 1},
+		"the lease has ended":    {func(s *store, _, _ *bool) { s.ended = true }, 2},
+		"the store is down":      {func(s *store, _, _ *bool) { s.down = true }, 1},
+		"the entry is taken":     {func(_ *store, _, listed *bool) { *listed = false }, 2},
+		"the VM becomes unready": {func(_ *store, ready, _ *bool) { *ready = false }, 1},
+	}
+	for name, test := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			s := &store{}
+			ready, listed := false, true
+			var mu sync.Mutex
+			read := func(b *bool) func() bool {
+				return func() bool { mu.Lock(); defer mu.Unlock(); return *b }
+			}
+			r := registration.New(s, fleet.VM{Name: "a"}, read(&ready), read(&listed), logrus.NewEntry(log))
+			_ = r.Start(t.Context())
+			time.Sleep(2 * time.Second)
+			if s.registrations != 0 {
+				t.Errorf("%s: registered before it was ready", name)
+			}
+			mu.Lock()
+			ready = true
+			mu.Unlock()
+			time.Sleep(5 * time.Second)
+			mu.Lock()
+			s.mu.Lock()
+			test.change(s, &ready, &listed)
+			s.mu.Unlock()
+			mu.Unlock()
+			time.Sleep(2200 * time.Millisecond)
+			if s.registrations != test.registrations {
+				t.Errorf("%s: registered %d times, want %d", name, s.registrations, test.registrations)
+			}
+			r.Leave()
+			if !s.released && !s.ended {
+				t.Errorf("%s: the entry stays after the VM left", name)
+			}
+		})
+	}
+}
