--- a/entry/entry.go
+++ b/entry/entry.go
@@ -167,14 +167,7 @@
 
 // Start starts the services and returns once they run; Close ends them.
 func (e *Entry) Start(ctx context.Context) error {
-	ended := make(chan error, 1)
-	go func() { ended <- e.kernel.Start(ctx) }()
-	select {
-	case <-e.kernel.Running():
-		return nil
-	case err := <-ended:
-		return err
-	}
+	return e.kernel.Launch(ctx)
 }
 
 // Close ends the services without a drain and closes the connections.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -233,14 +233,7 @@
 
 // Start starts the services and returns once they run; Close ends them.
 func (g *Gateway) Start(ctx context.Context) error {
-	ended := make(chan error, 1)
-	go func() { ended <- g.kernel.Start(ctx) }()
-	select {
-	case <-g.kernel.Running():
-		return nil
-	case err := <-ended:
-		return err
-	}
+	return g.kernel.Launch(ctx)
 }
 
 // Close ends the services without a drain.
@@ -282,13 +275,17 @@
 
 // Drain is the first part of a planned stop. Callers are told to go elsewhere, and those that still come are served
 // until the end is near.
-func (g *Gateway) Drain(context.Context) error {
+func (g *Gateway) Drain(ctx context.Context) error {
 	began := time.Now()
 	g.leaving.Store(true)
 	g.fleet.Leave()
 	g.ingress.Drain()
 	g.log.Info("process stops as planned")
-	go g.register.Leave()
+	go func() {
+		if err := g.register.Stop(ctx); err != nil {
+			g.log.WithError(err).Warn("registration not ended")
+		}
+	}()
 	limit := g.settings.Load().StopTimeout
 	for {
 		time.Sleep(drainCheck)
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -80,6 +80,18 @@
 	return nil
 }
 
+// Launch starts the services and returns once they run, or with the error of the one that failed; Stop ends them.
+func (k *Kernel) Launch(ctx context.Context) error {
+	ended := make(chan error, 1)
+	go func() { ended <- k.Start(ctx) }()
+	select {
+	case <-k.running:
+		return nil
+	case err := <-ended:
+		return err
+	}
+}
+
 // Running returns a channel that is closed once all services have started.
 func (k *Kernel) Running() <-chan struct{} {
 	return k.running
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -11,6 +10,7 @@
 
 	"github.com/fulmarhitch/fulmarhitch/backoff"
 	"github.com/fulmarhitch/fulmarhitch/fleet"
+	"github.com/fulmarhitch/fulmarhitch/kernel"
 	"github.com/fulmarhitch/fulmarhitch/roster"
 	"github.com/fulmarhitch/fulmarhitch/ruleset"
 )
@@ -83,6 +83,7 @@
 
 // Mirror is the kernel service that follows the store.
 type Mirror struct {
+	*kernel.Duty
 	config Config
 	rules  atomic.Pointer[ruleset.Set]
 	// heard is the time of the last successful call, in ns since the start.
@@ -91,13 +92,13 @@
 	lost  bool
 	// failedTo holds the times until which peers that failed are not followed.
 	failedTo map[string]time.Time
-	cancel   context.CancelFunc
-	ended    sync.WaitGroup
 }
 
 // New returns a mirror that knows nothing.
 func New(c Config) *Mirror {
-	return &Mirror{config: c, start: time.Now(), failedTo: make(map[string]time.Time)}
+	m := &Mirror{config: c, start: time.Now(), failedTo: make(map[string]time.Time)}
+	m.Duty = kernel.NewDuty(m.follow)
+	return m
 }
 
 // Rules returns the rules in force, or nil if none are known yet.
@@ -110,21 +111,6 @@
 	return time.Since(m.start) - time.Duration(m.heard.Load())
 }
 
-// Start begins to follow the store.
-func (m *Mirror) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	m.cancel = cancel
-	m.ended.Go(func() { m.follow(ctx) })
-	return nil
-}
-
-// Stop ends the duty.
-func (m *Mirror) Stop(context.Context) error {
-	m.cancel()
-	m.ended.Wait()
-	return nil
-}
-
 // follow reads all entries and then watches, until ctx is done.
 func (m *Mirror) follow(ctx context.Context) {
 	watcher, follower := backoff.New(minPause, maxPause), backoff.New(minPause, followerPause)
--- a/registration/registration.go
+++ b/registration/registration.go
@@ -10,6 +10,7 @@
 
 	"github.com/fulmarhitch/fulmarhitch/backoff"
 	"github.com/fulmarhitch/fulmarhitch/fleet"
+	"github.com/fulmarhitch/fulmarhitch/kernel"
 )
 
 const (
@@ -46,43 +47,28 @@
 
 // Registration is the kernel service that registers the VM.
 type Registration struct {
+	*kernel.Duty
 	store Store
 	vm    fleet.VM
 	log   *logrus.Entry
 	// ready tells whether the VM may be registered yet, and listed whether the store is seen to list it.
 	ready, listed func() bool
 
-	cancel context.CancelFunc
-	leave  sync.Once
-	ended  sync.WaitGroup
+	leave sync.Once
 }
 
 // New returns a registration of the VM that begins once ready returns true. The function listed tells whether the VM is
 // seen in the store: an entry may be taken away although its lease lives.
 func New(store Store, vm fleet.VM, ready, listed func() bool, log *logrus.Entry) *Registration {
-	return &Registration{store: store, vm: vm, ready: ready, listed: listed, log: log}
+	r := &Registration{store: store, vm: vm, ready: ready, listed: listed, log: log}
+	r.Duty = kernel.NewDuty(r.run)
+	return r
 }
 
-// Start begins to register the VM.
-func (r *Registration) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	r.cancel = cancel
-	r.ended.Go(func() { r.run(ctx) })
-	return nil
-}
-
-// Leave ends the registration and waits until its entry is removed or the store doesn't answer.
-func (r *Registration) Leave() {
-	r.leave.Do(func() {
-		r.cancel()
-		r.ended.Wait()
-	})
-}
-
-// Stop ends the registration.
-func (r *Registration) Stop(context.Context) error {
-	r.Leave()
-	return nil
+// Stop ends the registration and waits until its entry is removed or the store doesn't answer. It may be called again.
+func (r *Registration) Stop(ctx context.Context) (err error) {
+	r.leave.Do(func() { err = r.Duty.Stop(ctx) })
+	return err
 }
 
 // run holds a lease until ctx is done.
--- a/registration/registration_test.go
+++ b/registration/registration_test.go
@@ -101,7 +101,7 @@
 			if s.registrations != test.registrations {
 				t.Errorf("%s: registered %d times, want %d", name, s.registrations, test.registrations)
 			}
-			r.Leave()
+			_ = r.Stop(t.Context())
 			if !s.released && !s.ended {
 				t.Errorf("%s: the entry stays after the VM left", name)
 			}
