Let callers return soon whose request an upstream refused

Cause: where a service sheds half of its requests everywhere, callers waited 150 ms though another upstream could take them at once; only this VM's part of the second sends was used up. Ruled out: more second sends (the fleet's budget is a rule). Change: they return after 30 ms; full services still say 150 ms. Tests of each outcome's status and time to return.

--- a/ingress/handle.go
+++ b/ingress/handle.go
@@ -23,6 +23,9 @@
 	defaultDeadline = 30 * time.Second
 	// maxDeadline bounds a stated deadline.
 	maxDeadline = 10 * time.Minute
+	// returnAtOnce is the time after which a caller may return whose request an upstream refused while others may take it:
+	// only this VM's part of the second sends was used up.
+	returnAtOnce = 30 * time.Millisecond
 	// returnSoon is the time after which a refused caller may find a free upstream: disturbances last about 500 ms.
 	returnSoon = 150 * time.Millisecond
 	// returnLater is the time after which a VM without rules or upstreams may have some.
@@ -200,10 +203,14 @@
 
 // returnAfter returns when a request that did not run may come back.
 func returnAfter(reason outcome.Reason) time.Duration {
-	if reason == outcome.NoUpstream {
+	switch reason {
+	case outcome.Refused:
+		return returnAtOnce
+	case outcome.NoUpstream:
 		return returnLater
+	default:
+		return returnSoon
 	}
-	return returnSoon
 }
 
 // refuse answers a request that is not forwarded.
--- /dev/null
+++ b/ingress/server_test.go
@@ -0,0 +1,114 @@
+package ingress_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fulmarhitch/fulmarhitch/forwarder"
+	"github.com/fulmarhitch/fulmarhitch/ingress"
+	"github.com/fulmarhitch/fulmarhitch/outcome"
+	"github.com/fulmarhitch/fulmarhitch/ruleset"
+	"github.com/fulmarhitch/fulmarhitch/telemetry"
+)
+
+// fixed answers each request with one outcome.
+type fixed struct{ out outcome.Outcome }
+
+func (f fixed) Serve(context.Context, forwarder.Job) forwarder.Result {
+	return forwarder.Result{Outcome: f.out}
+}
+
+// start serves one rule and returns the server and its address.
+func start(t *testing.T, out outcome.Outcome, idle time.Duration) (*ingress.Server, string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	zero := func() float64 { return 0 }
+	set := ruleset.New(1, []*ruleset.Rule{{Name: "r", Host: "h", Prefix: "/", Parts: []ruleset.Part{{Service: "s", Weight: 1}}}}, nil,
+		ruleset.Limits{IdleTimeout: idle})
+	s := ingress.New(l, ingress.Config{
+		Dialect: ingress.Dialect{RequestID: "Id", Deadline: "Deadline"}, Forwarder: fixed{out},
+		Rules: func() *ruleset.Set { return set }, RulesAge: func() time.Duration { return 0 },
+		Pick: func(r *ruleset.Rule) string { return r.Parts[0].Service }, Log: logrus.NewEntry(log),
+		Metrics: telemetry.New(telemetry.Sources{
+			RulesVersion: zero, StoreAge: zero, Upstreams: zero, VMs: zero, Questions: zero, LogDropped: zero,
+		}),
+	})
+	_ = s.Start(context.Background())
+	return s, l.Addr().String()
+}
+
+func call(address string) (*http.Response, error) {
+	req, err := http.NewRequest(http.MethodGet, "http://"+address+"/x", nil)
+	if err != nil {
+		return nil, err
+	}
+	req.Host = "h"
+	req.Header.Set("Id", "1")
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err == nil {
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+	}
+	return resp, err
+}
+
+// TestOutcomes guards against statuses that promise more than is known, and against callers that are told to return later
+// than they could be served.
+func TestOutcomes(t *testing.T) {
+	tests := map[string]struct {
+		out      outcome.Outcome
+		status   int
+		min, max float64 // of the time to return in seconds
+	}{
+		"answered":              {outcome.Answered{Status: 404}, 404, 0, 0},
+		"refused by upstreams":  {outcome.NotRun{Reason: outcome.Refused}, 503, 0.01, 0.05},
+		"no free slot":          {outcome.NotRun{Reason: outcome.QueueFull}, 503, 0.1, 0.2},
+		"no upstream":           {outcome.NotRun{Reason: outcome.NoUpstream}, 503, 0.3, 0.7},
+		"no answer in time":     {outcome.Unknown{Reason: outcome.Timeout}, 504, 0, 0},
+		"a lost answer":         {outcome.Unknown{Reason: outcome.ConnectionLost}, 502, 0, 0},
+		"an answer of another":  {outcome.Unknown{Reason: outcome.Mismatched}, 502, 0, 0},
+		"a request that is bad": {outcome.NotRun{Reason: outcome.Quarantined}, 503, 0.1, 0.2},
+	}
+	for name, test := range tests {
+		Convey("Given "+name, t, func() {
+			s, address := start(t, test.out, 0)
+			defer func() { _ = s.Stop(context.Background()) }()
+			resp, err := call(address)
+			So(err, ShouldBeNil)
+			So(resp.StatusCode, ShouldEqual, test.status)
+			after, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+			So(after >= test.min && after <= test.max, ShouldBeTrue)
+		})
+	}
+}
+
+// TestStop guards against requests that are cut by a planned stop, and against connections that outlive it.
+func TestStop(t *testing.T) {
+	Convey("Given a server that drains and then refuses", t, func() {
+		s, address := start(t, outcome.Answered{Status: 200}, 0)
+		s.Drain()
+		resp, err := call(address)
+		So(err, ShouldBeNil)
+		So(resp.StatusCode, ShouldEqual, 200)
+		So(resp.Close, ShouldBeTrue)
+		s.Refuse()
+		resp, err = call(address)
+		So(err, ShouldBeNil)
+		So(resp.StatusCode, ShouldEqual, 503)
+		So(s.Stop(context.Background()), ShouldBeNil)
+		_, err = call(address)
+		So(err, ShouldNotBeNil)
+	})
+}
