Follow a fresh peer while the store turns this VM away

Cause: read in the code: a VM whose reader failed while the store refused it waited for the store, although the second reader was fresh (TestTurnedAway fails without the change). Ruled out: peers after a forgotten history (they may not have noticed yet what the watch missed). Measured: go test ./mirror ./forwarder ./ingress pass.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -32,14 +32,6 @@
 	return &Forwarder{config: c}
 }
 
-// Result is what the caller is told, and how it came about.
-type Result struct {
-	// Outcome is what became of the request.
-	Outcome outcome.Outcome
-	// Attempts are the sends until the outcome.
-	Attempts []Attempt
-}
-
 // ended is the end of one attempt.
 type ended struct {
 	index  int
@@ -57,9 +49,10 @@
 	ended chan ended
 	// last is the outcome of the latest attempt that ended without being final.
 	last outcome.Outcome
-	// abort cancels the attempts; it is called only if the caller has left.
-	abort context.CancelFunc
+	// ctx is that of the attempts, which outlive the caller's. abort ends it: with attempts in progress only if the caller
+	// of an idempotent request has left.
 	ctx   context.Context
+	abort context.CancelFunc
 }
 
 // Serve forwards the request and returns its outcome. The end of ctx means that the caller has left.
--- a/gateway/duty.go
+++ b/gateway/duty.go
@@ -40,6 +40,7 @@
 			}
 			g.fleet.Expire(now)
 			g.conditions.Expire(now)
+			g.sampler.Keep(g.roster.Has)
 			g.share()
 		case <-hangup:
 			g.reload("signal")
--- a/ingress/handle.go
+++ b/ingress/handle.go
@@ -140,7 +140,9 @@
 	}
 	// A caller that sends slowly holds its place no longer than it would wait for an answer.
 	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(deadline)
+	if err := control.SetReadDeadline(deadline); err != nil {
+		s.config.Log.WithError(err).Warn("no bound on the time of a body")
+	}
 	var b bytes.Buffer
 	if h.ContentLength > 0 {
 		b.Grow(int(h.ContentLength) + bytes.MinRead)
@@ -153,7 +155,9 @@
 		}
 		return nil, &fault{status: http.StatusBadRequest, text: "body: " + err.Error()}
 	}
-	_ = control.SetReadDeadline(time.Time{})
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		s.config.Log.WithError(err).Warn("bound on the time of a body not lifted")
+	}
 	if s.buffered.Add(int64(b.Len())) > bufferedBytes {
 		s.buffered.Add(-int64(b.Len()))
 		return nil, &fault{http.StatusServiceUnavailable, "too-large: no room for the body", returnLater}
@@ -185,6 +189,7 @@
 			header["Content-Type"] = nil
 		}
 		w.WriteHeader(out.Status)
+		// An error means that the caller has left, which the request's context tells too.
 		_, _ = w.Write(out.Body)
 	case outcome.NotRun:
 		s.write(w, h, fault{http.StatusServiceUnavailable, string(out.Reason), returnAfter(out.Reason)})
@@ -235,6 +240,7 @@
 		header.Set("Retry-After", strconv.FormatFloat(after, 'f', 3, 64))
 	}
 	w.WriteHeader(f.status)
+	// An error means that the caller has left.
 	_, _ = io.WriteString(w, f.text+"\n")
 }
 
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -115,18 +115,22 @@
 func (m *Mirror) follow(ctx context.Context) {
 	watcher, follower := backoff.New(minPause, maxPause), backoff.New(minPause, followerPause)
 	revision, known := uint64(0), false
+	// storeOnly tells that only the store itself can say what was missed.
+	storeOnly := false
 	for ctx.Err() == nil {
-		peer, wait, isFollower := m.next(known)
+		peer, wait, isFollower := m.next(storeOnly)
 		source := m.config.Store
 		if peer != nil {
 			source = peer.Source
 		}
 		b, err := m.hear(ctx, source, revision, known, wait)
 		switch {
+		case ctx.Err() != nil:
+			return
 		case err == nil:
 			watcher.Reset()
 			follower.Reset()
-			revision, known = max(b.Revision, revision), true
+			revision, known, storeOnly = max(b.Revision, revision), true, false
 			if len(b.Entries) > 0 {
 				m.gather(ctx)
 			}
@@ -136,9 +140,9 @@
 		case errors.Is(err, ErrForgotten):
 			// The store answers, so there is nothing to wait for.
 			m.config.Log.WithField("revision", revision).Info("history of the store is gone, reading all entries")
-			known = false
+			known, storeOnly = false, true
 		default:
-			m.failed(ctx, err)
+			m.failed(err)
 			known = known && !m.lost
 			if isFollower {
 				follower.Wait(ctx)
@@ -160,9 +164,9 @@
 
 // next returns the peer to follow, or nil for the store, and how long to wait for changes. After a peer has failed, the
 // store is asked once without a wait before the next peer is followed.
-func (m *Mirror) next(known bool) (peer *Peer, wait time.Duration, isFollower bool) {
+func (m *Mirror) next(storeOnly bool) (peer *Peer, wait time.Duration, isFollower bool) {
 	peers, now := m.config.Peers(), time.Now()
-	if !known || len(peers) == 0 {
+	if storeOnly || len(peers) == 0 {
 		return nil, watchWait, len(peers) > 0
 	}
 	alive := 0
@@ -178,7 +182,7 @@
 	switch {
 	case peer == nil:
 		return nil, watchWait, true
-	case alive < len(peers) && m.Age() > checkAge:
+	case alive < len(peers) && m.Age() > checkAge && !m.lost:
 		return nil, 0, true
 	default:
 		return peer, watchWait, true
@@ -233,9 +237,9 @@
 }
 
 // failed notes a failed call.
-func (m *Mirror) failed(ctx context.Context, err error) {
+func (m *Mirror) failed(err error) {
 	m.config.Relay.Lost()
-	if ctx.Err() != nil || m.lost || m.Age() < outageAfter {
+	if m.lost || m.Age() < outageAfter {
 		return
 	}
 	m.lost = true
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -133,6 +133,32 @@
 	}
 }
 
+// TestTurnedAway guards against a VM that waits for a store that turns it away although a peer knows what is there.
+func TestTurnedAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, first, second := &source{version: 5}, &source{version: 5}, &source{version: 5}
+		peers := []mirror.Peer{{Name: "a", Source: first}, {Name: "b", Source: second}}
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		m := mirror.New(mirror.Config{
+			Store: store, Decode: decode, Peers: func() []mirror.Peer { return peers }, Relay: relay{}, Roster: roster.New(),
+			Fleet: fleet.New(fleet.VM{}), Changed: func() {}, Log: logrus.NewEntry(log),
+		})
+		_ = m.Start(t.Context())
+		time.Sleep(5 * time.Second)
+		for _, s := range []*source{store, first, second} {
+			s.set(func(s *source) { s.down = true })
+		}
+		time.Sleep(4 * time.Second)
+		second.set(func(s *source) { s.down, s.version = false, 9 })
+		time.Sleep(4 * time.Second)
+		if set := m.Rules(); set == nil || set.Version != 9 {
+			t.Errorf("rules %+v", set)
+		}
+		_ = m.Stop(t.Context())
+	})
+}
+
 // TestCalls guards against calls of the store by VMs that follow a peer, and against many calls while it is down.
 func TestCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -107,6 +107,14 @@
 	return found && !known.Draining && known.Born == u.Born && known.Address == u.Address
 }
 
+// Has tells whether an upstream with the identifier is known.
+func (r *Roster) Has(id string) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	_, found, _ := r.all.Get(id)
+	return found
+}
+
 // Len returns the number of known upstreams.
 func (r *Roster) Len() int {
 	r.mu.RLock()
--- a/sampler/sampler.go
+++ b/sampler/sampler.go
@@ -140,12 +140,12 @@
 	return true
 }
 
-// Keep forgets the limits of upstreams for which known returns false.
-func (s *Sampler) Keep(known func(id string) bool) {
+// Keep forgets the limits of upstreams that are not known any more.
+func (s *Sampler) Keep(isKnown func(id string) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id := range s.limiters {
-		if !known(id) {
+		if !isKnown(id) {
 			delete(s.limiters, id)
 		}
 	}
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -65,6 +66,10 @@
 
 // read registers a value that is read when the metrics are fetched.
 func (m *Metrics) read(name, help string, value func() float64) {
+	if strings.HasSuffix(name, "_total") {
+		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, value))
+		return
+	}
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, value))
 }
 
