Keep what followers are told younger than one watch

Cause: TestStoreCalls failed once in a run of all tests, then in 3 of 6 runs side by side (7 and 8 watches for at most 6). Its log: "what the peer knows is 1501 ms old": at the start a reader gathers changes for 0.5 s and then waits for 1 s, and its followers take it for lost at 1.4 s. Ruled out: load (the ages are the sum of the two waits); re-registration (no line tells of one). Change: the pause for gathering counts as part of the next wait. TestFresh (1.5 s without the change) bounds it.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -19,6 +19,8 @@
 	// watchWait is the longest wait of one watch. A broken watch goes unnoticed for this time and the slack, which
 	// together are below the 2 s in which a configuration has to be in force.
 	watchWait = time.Second
+	// minWait is the shortest wait of a watch after changes were gathered.
+	minWait = 200 * time.Millisecond
 	// watchSlack is the time that an answer may take beyond the wait before the call counts as failed.
 	watchSlack = 400 * time.Millisecond
 	// readTimeout bounds a read of all entries. A VM that was cut off has to see within 3 s which upstreams have left
@@ -122,6 +124,9 @@
 		source := m.config.Store
 		if peer != nil {
 			source = peer.Source
+		} else if known && wait > 0 {
+			// The pause for gathering counts, so that what followers are told is never older than one wait.
+			wait = max(wait-m.Age(), minWait)
 		}
 		b, err := m.hear(ctx, source, revision, known, wait)
 		switch {
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -133,6 +133,45 @@
 	}
 }
 
+// recorder keeps the longest time for which nothing was heard.
+type recorder struct {
+	relay
+	last    time.Time
+	longest time.Duration
+}
+
+func (r *recorder) Take(_ mirror.Batch, heard time.Time) {
+	if !r.last.IsZero() {
+		r.longest = max(r.longest, heard.Sub(r.last))
+	}
+	r.last = heard
+}
+
+// TestFresh guards against a VM whose followers take it for lost because it gathers changes and then waits for more: they
+// turn to the store when what they are told is 1.4 s old.
+func TestFresh(t *testing.T) {
+	for name, pause := range map[string]time.Duration{"rare changes": 1700 * time.Millisecond, "frequent changes": 150 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			store, r := &source{version: 5}, &recorder{}
+			log := logrus.New()
+			log.SetOutput(io.Discard)
+			m := mirror.New(mirror.Config{
+				Store: store, Decode: decode, Peers: func() []mirror.Peer { return nil }, Relay: r, Roster: roster.New(),
+				Fleet: fleet.New(fleet.VM{}), Changed: func() {}, Log: logrus.NewEntry(log),
+			})
+			_ = m.Start(t.Context())
+			for range 20 {
+				time.Sleep(pause)
+				store.set(func(s *source) { s.version++ })
+			}
+			_ = m.Stop(t.Context())
+			if r.longest > 1100*time.Millisecond {
+				t.Errorf("%s: nothing was heard for %s", name, r.longest)
+			}
+		})
+	}
+}
+
 // TestTurnedAway guards against a VM that waits for a store that turns it away although a peer knows what is there.
 func TestTurnedAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
