Read counters in tests under their locks

Cause: the race detector found reads without the lock in the tests of mirror and registration; none in the product. Measured: go test -race of platform, forwarder, crash, ingress, logbook, fleet, roster, story, exchange: no race; mirror and registration three times after the change: none.

--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -21,14 +21,13 @@
 
 // source is a store, or a VM that knows it, whose only entry is a version of the rules.
 type source struct {
-	mu       sync.Mutex
-	version  uint64
-	age      time.Duration
-	down     bool
-	silent   bool
-	deaf     bool
-	calls    int
-	snapshot int
+	mu      sync.Mutex
+	version uint64
+	age     time.Duration
+	down    bool
+	silent  bool
+	deaf    bool
+	calls   int
 }
 
 func (s *source) set(change func(*source)) {
@@ -37,8 +36,14 @@
 	change(s)
 }
 
+// count returns the number of calls.
+func (s *source) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
 func (s *source) Snapshot(ctx context.Context) (mirror.Batch, error) {
-	s.set(func(s *source) { s.snapshot++ })
 	b, err := s.Watch(ctx, 0, 0)
 	b.Whole = true
 	return b, err
@@ -210,14 +215,14 @@
 		})
 		_ = m.Start(t.Context())
 		time.Sleep(30 * time.Second)
-		if store.calls > 1 {
-			t.Errorf("%d calls of the store while a peer is followed", store.calls)
+		if n := store.count(); n > 1 {
+			t.Errorf("%d calls of the store while a peer is followed", n)
 		}
 		store.set(func(s *source) { s.down = true })
 		peer.set(func(s *source) { s.down = true })
-		before := store.calls
+		before := store.count()
 		time.Sleep(20 * time.Second)
-		if n := store.calls - before; n > 45 {
+		if n := store.count() - before; n > 45 {
 			t.Errorf("%d calls in 20 s of an outage", n)
 		}
 		_ = m.Stop(t.Context())
--- a/registration/registration_test.go
+++ b/registration/registration_test.go
@@ -26,6 +26,13 @@
 	ended         bool
 }
 
+// look returns the number of registrations and whether the entry is gone.
+func (s *store) look() (registrations int, gone bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.registrations, s.released || s.ended
+}
+
 var errDown = errors.New("the store is down")
 
 func (s *store) Register(context.Context, fleet.VM, time.Duration) (registration.Lease, error) {
@@ -85,7 +92,7 @@
 			r := registration.New(s, fleet.VM{Name: "a"}, read(&ready), read(&listed), logrus.NewEntry(log))
 			_ = r.Start(t.Context())
 			time.Sleep(2 * time.Second)
-			if s.registrations != 0 {
+			if n, _ := s.look(); n != 0 {
 				t.Errorf("%s: registered before it was ready", name)
 			}
 			mu.Lock()
@@ -98,11 +105,11 @@
 			s.mu.Unlock()
 			mu.Unlock()
 			time.Sleep(2200 * time.Millisecond)
-			if s.registrations != test.registrations {
-				t.Errorf("%s: registered %d times, want %d", name, s.registrations, test.registrations)
+			if n, _ := s.look(); n != test.registrations {
+				t.Errorf("%s: registered %d times, want %d", name, n, test.registrations)
 			}
 			_ = r.Stop(t.Context())
-			if !s.released && !s.ended {
+			if _, gone := s.look(); !gone {
 				t.Errorf("%s: the entry stays after the VM left", name)
 			}
 		})
