Use the pause of package backoff, find the folder of programs in one place

Cause: the last reading found a second copy of backoff.Sleep in forwarder and three copies of the folder of a program. Change: backoff.Sleep; program.Folder. Behaviour is the same.

--- a/cmd/demo-platform/main.go
+++ b/cmd/demo-platform/main.go
@@ -58,13 +58,11 @@
 }
 
 func run(a arguments) (bool, error) {
-	if a.Bin == "" {
-		self, err := os.Executable()
-		if err != nil {
-			return false, errors.Wrap(err, "demo")
-		}
-		a.Bin = filepath.Dir(self)
+	bin, err := program.Folder(a.Bin)
+	if err != nil {
+		return false, err
 	}
+	a.Bin = bin
 	folder, err := os.MkdirTemp("", "fulmarhitch-demo-platform-")
 	if err != nil {
 		return false, errors.Wrap(err, "demo")
--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net/http"
 	"os"
-	"path/filepath"
 	"sync"
 	"time"
 
@@ -14,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/fulmarhitch/fulmarhitch/caller"
+	"github.com/fulmarhitch/fulmarhitch/standin/program"
 )
 
 type arguments struct {
@@ -37,13 +37,11 @@
 }
 
 func run(a arguments, log *logrus.Logger) (bool, error) {
-	if a.Bin == "" {
-		self, err := os.Executable()
-		if err != nil {
-			return false, errors.Wrap(err, "demo")
-		}
-		a.Bin = filepath.Dir(self)
+	bin, err := program.Folder(a.Bin)
+	if err != nil {
+		return false, err
 	}
+	a.Bin = bin
 	folder, err := os.MkdirTemp("", "fulmarhitch-demo-")
 	if err != nil {
 		return false, errors.Wrap(err, "demo")
--- a/cmd/measure-added/main.go
+++ b/cmd/measure-added/main.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"os"
-	"path/filepath"
 	"strings"
 	"time"
 
@@ -12,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fulmarhitch/fulmarhitch/load"
+	"github.com/fulmarhitch/fulmarhitch/standin/program"
 )
 
 // callTimeout is long against the latencies on a loopback link.
@@ -35,13 +35,11 @@
 }
 
 func run(a arguments) error {
-	if a.Bin == "" {
-		self, err := os.Executable()
-		if err != nil {
-			return errors.Wrap(err, "measure-added")
-		}
-		a.Bin = filepath.Dir(self)
+	bin, err := program.Folder(a.Bin)
+	if err != nil {
+		return err
 	}
+	a.Bin = bin
 	folder, err := os.MkdirTemp("", "fulmarhitch-added-")
 	if err != nil {
 		return errors.Wrap(err, "measure-added")
--- a/forwarder/choose.go
+++ b/forwarder/choose.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/fulmarhitch/fulmarhitch/backoff"
 	"github.com/fulmarhitch/fulmarhitch/outcome"
 	"github.com/fulmarhitch/fulmarhitch/roster"
 	"github.com/fulmarhitch/fulmarhitch/selection"
@@ -67,7 +68,7 @@
 			return nil, outcome.NotRun{Reason: outcome.QueueFull}
 		}
 		r.config.Pressure.Add(r.job.Request.Service, r.job.Rule.Priority, time.Now())
-		if !sleep(ctx, pollInterval/2+rand.N(pollInterval)) {
+		if !backoff.Sleep(ctx, pollInterval/2+rand.N(pollInterval)) {
 			return nil, outcome.NotRun{Reason: outcome.Cancelled}
 		}
 	}
@@ -88,18 +89,6 @@
 	return min(time.Duration(inTime*float64(r.job.Rule.Target)), left)
 }
 
-// sleep waits and returns true, or returns false once ctx is done.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // choose returns the best upstream that this request hasn't been sent to, or nil if there is none.
 func (r *run) choose(mayCross bool) *choice {
 	near, far := r.candidates()
--- a/standin/program/program.go
+++ b/standin/program/program.go
@@ -29,6 +29,15 @@
 	command *exec.Cmd
 }
 
+// Folder returns the folder of the programs: the given one, or else that of the running program.
+func Folder(bin string) (string, error) {
+	if bin != "" {
+		return bin, nil
+	}
+	self, err := os.Executable()
+	return filepath.Dir(self), errors.Wrap(err, "program: folder")
+}
+
 // startLine is the log line of a program that listens.
 type startLine struct {
 	Address     string `json:"address"`
