--- a/entry/duty.go
+++ b/entry/duty.go
@@ -46,6 +46,7 @@
 			} else if ctx.Err() == nil {
 				e.log.WithError(err).Warn("VM list not read")
 			}
+			e.ready.looked.Store(true)
 		}
 		// Jitter keeps the readers from calling the platform at the same moment.
 		pause := time.Duration((0.75 + 0.5*rand.Float64()) * float64(listInterval))
--- a/entry/readiness.go
+++ b/entry/readiness.go
@@ -16,6 +16,9 @@
 // readiness tells whether the process may serve requests. Once set it stays.
 type readiness struct {
 	set atomic.Bool
+	// looked tells that the VM list was asked for once. Before that a VM knows too few others to tell whether the fleet has
+	// room for it.
+	looked atomic.Bool
 }
 
 // admit returns the reason to refuse requests, or an empty one.
@@ -45,7 +48,7 @@
 // and the fleet has room for this VM.
 func (e *Entry) becomeReady() bool {
 	p := e.router.Plan()
-	if p == nil {
+	if p == nil || !e.ready.looked.Load() {
 		return false
 	}
 	live := e.gossip.Live()
