--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -81,6 +81,16 @@
 	return []mirror.Change{mirror.RulesPut{Set: ruleset.New(e.Revision, nil, nil, ruleset.Limits{})}}
 }
 
+// newMirror returns a mirror of the store that follows the peers.
+func newMirror(store *source, r mirror.Relay, peers ...mirror.Peer) *mirror.Mirror {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return mirror.New(mirror.Config{
+		Store: store, Decode: decode, Peers: func() []mirror.Peer { return peers }, Relay: r, Roster: roster.New(),
+		Fleet: fleet.New(fleet.VM{}), Changed: func() {}, Log: logrus.NewEntry(log),
+	})
+}
+
 // inForce is the time in which a configuration has to be in force.
 const inForce = 2 * time.Second
 
@@ -114,12 +124,7 @@
 				sources = append(sources, p)
 				peers = append(peers, mirror.Peer{Name: string(rune('a' + i)), Source: p})
 			}
-			log := logrus.New()
-			log.SetOutput(io.Discard)
-			m := mirror.New(mirror.Config{
-				Store: store, Decode: decode, Peers: func() []mirror.Peer { return peers }, Relay: relay{}, Roster: roster.New(),
-				Fleet: fleet.New(fleet.VM{}), Changed: func() {}, Log: logrus.NewEntry(log),
-			})
+			m := newMirror(store, relay{}, peers...)
 			_ = m.Start(t.Context())
 			time.Sleep(5 * time.Second)
 			test.fault(store, sources[1:])
@@ -158,12 +163,7 @@
 	for name, pause := range map[string]time.Duration{"rare changes": 1700 * time.Millisecond, "frequent changes": 150 * time.Millisecond} {
 		synctest.Test(t, func(t *testing.T) {
 			store, r := &source{version: 5}, &recorder{}
-			log := logrus.New()
-			log.SetOutput(io.Discard)
-			m := mirror.New(mirror.Config{
-				Store: store, Decode: decode, Peers: func() []mirror.Peer { return nil }, Relay: r, Roster: roster.New(),
-				Fleet: fleet.New(fleet.VM{}), Changed: func() {}, Log: logrus.NewEntry(log),
-			})
+			m := newMirror(store, r)
 			_ = m.Start(t.Context())
 			for range 20 {
 				time.Sleep(pause)
@@ -182,12 +182,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store, first, second := &source{version: 5}, &source{version: 5}, &source{version: 5}
 		peers := []mirror.Peer{{Name: "a", Source: first}, {Name: "b", Source: second}}
-		log := logrus.New()
-		log.SetOutput(io.Discard)
-		m := mirror.New(mirror.Config{
-			Store: store, Decode: decode, Peers: func() []mirror.Peer { return peers }, Relay: relay{}, Roster: roster.New(),
-			Fleet: fleet.New(fleet.VM{}), Changed: func() {}, Log: logrus.NewEntry(log),
-		})
+		m := newMirror(store, relay{}, peers...)
 		_ = m.Start(t.Context())
 		time.Sleep(5 * time.Second)
 		for _, s := range []*source{store, first, second} {
@@ -207,12 +202,7 @@
 func TestCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store, peer := &source{version: 5}, &source{version: 5}
-		log := logrus.New()
-		log.SetOutput(io.Discard)
-		m := mirror.New(mirror.Config{
-			Store: store, Decode: decode, Peers: func() []mirror.Peer { return []mirror.Peer{{Name: "p", Source: peer}} },
-			Relay: relay{}, Roster: roster.New(), Fleet: fleet.New(fleet.VM{}), Changed: func() {}, Log: logrus.NewEntry(log),
-		})
+		m := newMirror(store, relay{}, mirror.Peer{Name: "p", Source: peer})
 		_ = m.Start(t.Context())
 		time.Sleep(30 * time.Second)
 		if n := store.count(); n > 1 {
