Keep requests from upstreams that refuse connections while others answer

Ruled out: lost retries by a wrong count of attempts, a budget not yet earned (320 calls before it), stale connections (a trace shows "connection refused" and attempts 1, reason refused).

Change: ejected upstreams are used only if no other has a free slot; first attempts use those that took a connection when last used; second attempts wait for an upstream that is not ejected; with none left all are used, as before.

TestDistrust (pool) fails without the change.

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -109,7 +109,36 @@
 		return Slot{}, false
 	}
 	p.estimate(now)
-	distrust := p.distrust(now)
+	best := p.best(r, exclude, suspect, none, now)
+	if best == nil && p.distrust(now) {
+		best = p.best(r, exclude, suspect, p.lastResort(exclude, now), now)
+	}
+	if best == nil {
+		return Slot{}, false
+	}
+	best.used = now
+	best.state.Start(suspect)
+	best.pace.start(now)
+	if r.Long {
+		p.long++
+	}
+	return Slot{Upstream: best.declared, member: best, start: now, long: r.Long, suspect: suspect}, true
+}
+
+// trust is which ejected upstreams may be used.
+type trust int
+
+const (
+	// none of the ejected ones may be used.
+	none trust = iota
+	// reachable ones, which took a connection when they were last used, may be used.
+	reachable
+	// every ejected one may be used.
+	every
+)
+
+// best returns the member with the lowest cost among those with a free slot, or nil.
+func (p *Pool) best(r *request.Request, exclude string, suspect bool, t trust, now time.Time) *member {
 	var best *member
 	var bestCost float64
 	spare, calm := p.spare(exclude, now)
@@ -117,7 +146,7 @@
 		if spare && p.avoid(m, now) || calm && p.doubt(m) {
 			continue
 		}
-		if !p.usable(m, distrust, now) || m.declared.Name == exclude || suspect && m.state.Suspects() > 0 {
+		if !p.usable(m, t, now) || m.declared.Name == exclude || suspect && m.state.Suspects() > 0 {
 			continue
 		}
 		free := m.state.Free(now)
@@ -129,16 +158,23 @@
 			best, bestCost = m, cost
 		}
 	}
-	if best == nil {
-		return Slot{}, false
-	}
-	best.used = now
-	best.state.Start(suspect)
-	best.pace.start(now)
-	if r.Long {
-		p.long++
+	return best
+}
+
+// lastResort returns which ejected upstreams may be used when the others have no free slot. While there are others, a
+// first attempt is not wasted on an upstream that takes no connection, and a second one on no ejected upstream at all.
+func (p *Pool) lastResort(exclude string, now time.Time) trust {
+	sound := slices.ContainsFunc(p.members, func(m *member) bool {
+		return m.declared.Name != exclude && p.usable(m, none, now)
+	})
+	switch {
+	case !sound:
+		return every
+	case exclude != "":
+		return none
+	default:
+		return reachable
 	}
-	return Slot{Upstream: best.declared, member: best, start: now, long: r.Long, suspect: suspect}, true
 }
 
 // Release ends the use of a slot; service is the time that the request ran.
@@ -172,9 +208,9 @@
 // Free returns the number of free slots of usable upstreams.
 func (p *Pool) Free(now time.Time) int {
 	free := 0
-	distrust := p.distrust(now)
+	t := p.trust(now)
 	for _, m := range p.members {
-		if p.usable(m, distrust, now) {
+		if p.usable(m, t, now) {
 			free += m.state.Free(now)
 		}
 	}
@@ -184,9 +220,9 @@
 // Slots returns the number of slots of usable upstreams, free or not.
 func (p *Pool) Slots(now time.Time) int {
 	slots := 0
-	distrust := p.distrust(now)
+	t := p.trust(now)
 	for _, m := range p.members {
-		if p.usable(m, distrust, now) {
+		if p.usable(m, t, now) {
 			slots += m.state.Limit()
 		}
 	}
@@ -220,12 +256,27 @@
 	return nil
 }
 
-func (p *Pool) usable(m *member, distrust bool, now time.Time) bool {
-	return !m.state.Leaving() && (distrust || p.quiet || !m.state.Ejected(now))
+func (p *Pool) usable(m *member, t trust, now time.Time) bool {
+	switch {
+	case m.state.Leaving():
+		return false
+	case p.quiet || t == every || !m.state.Ejected(now):
+		return true
+	default:
+		return t == reachable && !m.state.Unreachable()
+	}
+}
+
+// trust returns which ejected upstreams count as room for first attempts.
+func (p *Pool) trust(now time.Time) trust {
+	if p.distrust(now) {
+		return p.lastResort("", now)
+	}
+	return none
 }
 
 // distrust reports whether more than half of the upstreams are ejected. Then the fault is more likely in the
-// measurement or the network than in the upstreams, and ejection is ignored.
+// measurement or the network than in the upstreams, and ejected ones are used when the others have no free slot.
 func (p *Pool) distrust(now time.Time) bool {
 	if p.quiet {
 		return false
@@ -277,7 +328,7 @@
 // free; calm tells whether one of these is probably not disturbed.
 func (p *Pool) spare(exclude string, now time.Time) (spare, calm bool) {
 	for _, m := range p.members {
-		if !m.state.Slow() && m.declared.Name != exclude && p.usable(m, false, now) {
+		if !m.state.Slow() && m.declared.Name != exclude && p.usable(m, none, now) {
 			spare = true
 			if calm = m.chance <= 0.5; calm {
 				break
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -146,3 +147,35 @@
 		So(s.Upstream.Name, ShouldEqual, "u1")
 	})
 }
+
+// TestDistrust guards against requests that go to two dead upstreams of three in a row while the third one answers.
+func TestDistrust(t *testing.T) {
+	for name, c := range map[string]struct {
+		class   upstream.Class
+		exclude string
+		most    int
+		want    []string
+	}{
+		"the others come first":                      {upstream.Lost, "", 2, []string{"u2", "u2"}},
+		"ejected ones take what the others can't":    {upstream.Lost, "", 3, []string{"u2", "u2", "u0"}},
+		"unreachable ones get nothing":               {upstream.Unsent, "", 3, []string{"u2", "u2"}},
+		"a retry waits for one that is not ejected":  {upstream.Lost, "u0", 4, []string{"u2", "u2"}},
+		"a retry uses ejected ones if none is sound": {upstream.Lost, "u2", 2, []string{"u0", "u0"}},
+		"all are used if none is sound":              {upstream.Unsent, "u2", 2, []string{"u0", "u0"}},
+	} {
+		Convey(name, t, func() {
+			p := fill(3)
+			run(p, 3, map[string]upstream.Class{"u0": c.class, "u1": c.class}, nil)
+			var got []string
+			for range c.most {
+				s, ok := p.Acquire(&request.Request{}, c.exclude, false, now.Add(500*ms))
+				if !ok {
+					break
+				}
+				// Which of the two ejected ones is used is left to chance.
+				got = append(got, strings.Replace(s.Upstream.Name, "u1", "u0", 1))
+			}
+			So(got, ShouldResemble, c.want)
+		})
+	}
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -46,6 +46,8 @@
 	backOff time.Duration
 	until   time.Time
 	ejected bool
+	// unreachable tells that no connection could be made at the last failure.
+	unreachable bool
 
 	// limit is the number of slots that slow start allows; successes count towards the next one.
 	limit, successes int
@@ -115,6 +117,9 @@
 	return u.ejected
 }
 
+// Unreachable reports whether no connection could be made when the upstream was last used.
+func (u *Upstream) Unreachable() bool { return u.unreachable }
+
 // Limit returns the number of slots that may be used now, free or not.
 func (u *Upstream) Limit() int {
 	if u.slow {
@@ -168,6 +173,9 @@
 	if suspect {
 		u.suspects--
 	}
+	if class != Cancelled {
+		u.unreachable = class == Unsent
+	}
 	switch class {
 	case Answered:
 		u.sample(service)
