Let one VM turn to the store when the watcher of the fleet fails

Change: a broken watch is asked again at once, and followers are told of a loss only if that fails; the VM next in order turns to the store 150 ms before the others; these ask it first, for at most 250 ms; in an outage they call the store every 2 s. TestBrokenWatch, TestOneAsks and TestCalls (mirror) failed before. TestFollow holds the 2 s for a new configuration as before.

--- a/mirror/change.go
+++ b/mirror/change.go
@@ -11,6 +11,9 @@
 	"github.com/fulmarhitch/fulmarhitch/ruleset"
 )
 
+// ErrStale marks an answer of a peer that has not heard the store for too long.
+var ErrStale = errors.New("the peer has not heard the store")
+
 // ErrForgotten marks a watch from a revision that the store's history no longer covers.
 var ErrForgotten = errors.New("the store no longer holds the changes since the revision")
 
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -16,13 +16,21 @@
 )
 
 const (
-	// watchWait is the longest wait of one watch. A broken watch goes unnoticed for this time and the slack, which
-	// together are below the 2 s in which a configuration has to be in force.
-	watchWait = time.Second
+	// watchWait is the longest wait of one watch. A broken watch goes unnoticed for this time and the slack. The time in
+	// which a configuration has to be in force, 2 s, is for this and the ways round a VM that fails.
+	watchWait = 800 * time.Millisecond
+	// peerWait is the longest wait of one call of a peer.
+	peerWait = time.Second
 	// minWait is the shortest wait of a watch after changes were gathered.
 	minWait = 200 * time.Millisecond
-	// watchSlack is the time that an answer may take beyond the wait before the call counts as failed.
-	watchSlack = 400 * time.Millisecond
+	// storeSlack is the time that an answer of the store may take beyond the wait before the watch counts as broken.
+	storeSlack = 300 * time.Millisecond
+	// peerSlack is the same for an answer of a peer.
+	peerSlack = 400 * time.Millisecond
+	// checkTimeout bounds a call of a peer without a wait, which is made when the own knowledge is nearly too old.
+	checkTimeout = 250 * time.Millisecond
+	// checkPause is the time between two such calls, in which the peer asks the store.
+	checkPause = 100 * time.Millisecond
 	// readTimeout bounds a read of all entries. A VM that was cut off has to see within 3 s which upstreams have left
 	// meanwhile, so it must not wait for a connection that died in the cut.
 	readTimeout = 900 * time.Millisecond
@@ -37,15 +45,21 @@
 	maxPause = 250 * time.Millisecond
 	// outageAfter is the time without a successful call after which the store counts as lost: entries may have lapsed.
 	outageAfter = time.Second
-	// maxAge is the age of a peer's knowledge above which the peer counts as failed.
-	maxAge = watchWait + watchSlack
-	// followerPause is the longest pause after a failed call of a VM that has peers to follow. Only the VMs that watch the
-	// store look for its return often.
-	followerPause = time.Second
-	// checkAge is the age of the own knowledge above which the store is asked after a peer has failed.
-	checkAge = 300 * time.Millisecond
-	// peerPause is the time for which a peer that failed is not followed.
-	peerPause = 2 * time.Second
+	// maxAge is the age of a peer's knowledge above which the peer counts as failed. It leaves the peer time to ask the
+	// store again after a broken watch, and the own VM time to ask it too.
+	maxAge = 1400 * time.Millisecond
+	// maxAgeNext is the same for the VM that is next to watch the store. It asks the store before the others have to.
+	maxAgeNext = 1250 * time.Millisecond
+	// checkAge is the age of the own knowledge from which on a peer is asked without a wait after another one has failed.
+	checkAge = peerWait
+	// peerPause is the time for which a peer that failed is not followed. The entry of a dead one has ended by then.
+	peerPause = 4 * time.Second
+	// stalePause is the same for a peer that is not heard by the store either.
+	stalePause = 500 * time.Millisecond
+	// nextPause is the time between calls of a lost store by the VM that is next to watch it.
+	nextPause = 500 * time.Millisecond
+	// followerPause is the same for the other VMs that have peers to follow.
+	followerPause = 2 * time.Second
 )
 
 // Config holds what a mirror works with.
@@ -92,6 +106,8 @@
 	heard atomic.Int64
 	start time.Time
 	lost  bool
+	// asked is when the store was last asked.
+	asked time.Time
 	// failedTo holds the times until which peers that failed are not followed.
 	failedTo map[string]time.Time
 }
@@ -115,45 +131,46 @@
 
 // follow reads all entries and then watches, until ctx is done.
 func (m *Mirror) follow(ctx context.Context) {
-	watcher, follower := backoff.New(minPause, maxPause), backoff.New(minPause, followerPause)
+	pause := backoff.New(minPause, maxPause)
 	revision, known := uint64(0), false
-	// storeOnly tells that only the store itself can say what was missed.
-	storeOnly := false
+	// storeOnly tells that only the store itself can say what was missed, broken that the last watch of it failed.
+	storeOnly, broken := false, false
 	for ctx.Err() == nil {
-		peer, wait, isFollower := m.next(storeOnly)
-		source := m.config.Store
-		if peer != nil {
-			source = peer.Source
-		} else if known && wait > 0 {
+		s := m.next(storeOnly, broken)
+		if s.pause > 0 {
+			backoff.Sleep(ctx, s.pause)
+			continue
+		}
+		if s.peer == nil && s.wait > 0 {
 			// The pause for gathering counts, so that what followers are told is never older than one wait.
-			wait = max(wait-m.Age(), minWait)
+			s.wait = max(s.wait-m.Age(), minWait)
 		}
-		b, err := m.hear(ctx, source, revision, known, wait)
+		b, err := m.hear(ctx, s, revision, known)
 		switch {
 		case ctx.Err() != nil:
 			return
 		case err == nil:
-			watcher.Reset()
-			follower.Reset()
-			revision, known, storeOnly = max(b.Revision, revision), true, false
+			pause.Reset()
+			revision, known, storeOnly, broken = max(b.Revision, revision), true, false, false
 			if len(b.Entries) > 0 {
 				m.gather(ctx)
+			} else if s.peer != nil && s.wait == 0 {
+				backoff.Sleep(ctx, checkPause)
 			}
-		case peer != nil:
-			m.failedTo[peer.Name] = time.Now().Add(peerPause)
-			m.config.Log.WithError(err).WithField("peer", peer.Name).Info("peer failed")
+		case s.peer != nil:
+			m.fail(s.peer.Name, err)
 		case errors.Is(err, ErrForgotten):
 			// The store answers, so there is nothing to wait for.
 			m.config.Log.WithField("revision", revision).Info("history of the store is gone, reading all entries")
 			known, storeOnly = false, true
+		case known && !broken:
+			// A watch may break although the store answers, so it is asked again at once.
+			m.config.Log.WithError(err).Info("watch of the store is broken")
+			broken = true
 		default:
 			m.failed(err)
 			known = known && !m.lost
-			if isFollower {
-				follower.Wait(ctx)
-			} else {
-				watcher.Wait(ctx)
-			}
+			pause.Wait(ctx)
 		}
 	}
 }
@@ -167,38 +184,82 @@
 	backoff.Sleep(ctx, gather)
 }
 
-// next returns the peer to follow, or nil for the store, and how long to wait for changes. After a peer has failed, the
-// store is asked once without a wait before the next peer is followed.
-func (m *Mirror) next(storeOnly bool) (peer *Peer, wait time.Duration, isFollower bool) {
+// step is what to do next: to pause, or to ask a peer or the store.
+type step struct {
+	pause time.Duration
+	// peer is nil for the store.
+	peer *Peer
+	wait time.Duration
+	// maxAge is the age of the peer's knowledge above which it counts as failed.
+	maxAge time.Duration
+}
+
+// next returns the next step. When all VMs lose the one that they follow, only the next one in order should turn to the
+// store; the others ask that one first.
+func (m *Mirror) next(storeOnly, broken bool) step {
 	peers, now := m.config.Peers(), time.Now()
 	if storeOnly || len(peers) == 0 {
-		return nil, watchWait, len(peers) > 0
+		return m.store(broken)
+	}
+	s, storePause := step{wait: peerWait, maxAge: maxAge}, followerPause
+	if len(peers) == 1 {
+		s.maxAge, storePause = maxAgeNext, nextPause
 	}
 	alive := 0
 	for i, p := range peers {
 		if to, failed := m.failedTo[p.Name]; !failed || now.After(to) {
 			delete(m.failedTo, p.Name)
 			alive++
-			if peer == nil {
-				peer = &peers[i]
+			if s.peer == nil {
+				s.peer = &peers[i]
 			}
 		}
 	}
 	switch {
-	case peer == nil:
-		return nil, watchWait, true
-	case alive < len(peers) && m.Age() > checkAge && !m.lost:
-		return nil, 0, true
-	default:
-		return peer, watchWait, true
+	case s.peer == nil && m.lost && now.Sub(m.asked) < storePause:
+		return step{pause: checkPause}
+	case s.peer == nil:
+		return m.store(broken)
+	case alive < len(peers) && m.Age() >= checkAge && !m.lost:
+		s.wait = 0
+	case alive < len(peers) && !m.lost:
+		s.wait = max(peerWait-m.Age(), minWait)
 	}
+	return s
+}
+
+// store returns the step that asks the store.
+func (m *Mirror) store(broken bool) step {
+	m.asked = time.Now()
+	if broken {
+		return step{}
+	}
+	return step{wait: watchWait}
+}
+
+// fail notes a peer that can't be followed for a while.
+func (m *Mirror) fail(name string, err error) {
+	pause := peerPause
+	if m.lost || errors.Is(err, ErrStale) {
+		pause = stalePause
+	}
+	m.failedTo[name] = time.Now().Add(pause)
+	m.config.Log.WithError(err).WithField("peer", name).Info("peer failed")
 }
 
 // hear reads all entries or waits for changes, and takes them over.
-func (m *Mirror) hear(ctx context.Context, source Source, revision uint64, known bool, wait time.Duration) (Batch, error) {
-	timeout := readTimeout
-	if known && wait > 0 {
-		timeout = wait + watchSlack
+func (m *Mirror) hear(ctx context.Context, s step, revision uint64, known bool) (Batch, error) {
+	source, timeout := m.config.Store, readTimeout
+	switch {
+	case s.peer != nil:
+		source = s.peer.Source
+		if known && s.wait > 0 {
+			timeout = s.wait + peerSlack
+		} else if known {
+			timeout = checkTimeout
+		}
+	case known && s.wait > 0:
+		timeout = s.wait + storeSlack
 	}
 	call, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -206,12 +267,12 @@
 	var b Batch
 	var err error
 	if known {
-		b, err = source.Watch(call, revision, wait)
+		b, err = source.Watch(call, revision, s.wait)
 	} else {
 		b, err = source.Snapshot(call)
 	}
-	if err == nil && b.Age > maxAge {
-		err = errors.Newf("what the peer knows is %d ms old", b.Age.Milliseconds())
+	if err == nil && s.peer != nil && b.Age > s.maxAge {
+		err = errors.Mark(errors.Newf("what the peer knows is %d ms old", b.Age.Milliseconds()), ErrStale)
 	}
 	if err != nil {
 		return Batch{}, err
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -27,7 +27,9 @@
 	down    bool
 	silent  bool
 	deaf    bool
-	calls   int
+	// cut counts the times at which the calls in progress were left without an answer.
+	cut   int
+	calls int
 }
 
 func (s *source) set(change func(*source)) {
@@ -50,11 +52,12 @@
 }
 
 func (s *source) Watch(ctx context.Context, after uint64, wait time.Duration) (mirror.Batch, error) {
-	s.set(func(s *source) { s.calls++ })
+	began := 0
+	s.set(func(s *source) { s.calls++; began = s.cut })
 	end := time.Now().Add(wait)
 	for {
 		s.mu.Lock()
-		version, age, down, silent, deaf := s.version, s.age, s.down, s.silent, s.deaf
+		version, age, down, silent, deaf := s.version, s.age, s.down, s.silent || s.cut != began, s.deaf
 		s.mu.Unlock()
 		switch {
 		case ctx.Err() != nil:
@@ -148,8 +151,11 @@
 	relay
 	last    time.Time
 	longest time.Duration
+	lost    int
 }
 
+func (r *recorder) Lost() { r.lost++ }
+
 func (r *recorder) Take(_ mirror.Batch, heard time.Time) {
 	if !r.last.IsZero() {
 		r.longest = max(r.longest, heard.Sub(r.last))
@@ -198,23 +204,78 @@
 	})
 }
 
-// TestCalls guards against calls of the store by VMs that follow a peer, and against many calls while it is down.
-func TestCalls(t *testing.T) {
+// TestOneAsks guards against a fleet whose VMs all turn to the store when the VM that they follow does not hear it for a
+// moment, or ends, although the VM next in order knows the same.
+func TestOneAsks(t *testing.T) {
+	for name, c := range map[string]struct {
+		fault func(*source)
+		most  int
+	}{
+		"the peer is down":    {func(s *source) { s.down = true }, 0},
+		"the peer is stale":   {func(s *source) { s.deaf, s.age = true, 1700*time.Millisecond }, 0},
+		"the peer is silent":  {func(s *source) { s.silent = true }, 1},
+		"the peer lags a bit": {func(s *source) { s.age = 1450 * time.Millisecond }, 0},
+		"nothing goes wrong":  {func(*source) {}, 0},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			store, first, second := &source{version: 5}, &source{version: 5}, &source{version: 5}
+			m := newMirror(store, relay{}, mirror.Peer{Name: "a", Source: first}, mirror.Peer{Name: "b", Source: second})
+			_ = m.Start(t.Context())
+			time.Sleep(5900 * time.Millisecond)
+			before := store.count()
+			first.set(c.fault)
+			time.Sleep(3500 * time.Millisecond)
+			if n := store.count() - before; n > c.most {
+				t.Errorf("%s: %d calls of the store", name, n)
+			}
+			_ = m.Stop(t.Context())
+		})
+	}
+}
+
+// TestBrokenWatch guards against followers that are told of a lost store because one watch of it broke.
+func TestBrokenWatch(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store, peer := &source{version: 5}, &source{version: 5}
-		m := newMirror(store, relay{}, mirror.Peer{Name: "p", Source: peer})
+		store, r := &source{version: 5}, &recorder{}
+		m := newMirror(store, r)
 		_ = m.Start(t.Context())
-		time.Sleep(30 * time.Second)
-		if n := store.count(); n > 1 {
-			t.Errorf("%d calls of the store while a peer is followed", n)
-		}
-		store.set(func(s *source) { s.down = true })
-		peer.set(func(s *source) { s.down = true })
-		before := store.count()
-		time.Sleep(20 * time.Second)
-		if n := store.count() - before; n > 45 {
-			t.Errorf("%d calls in 20 s of an outage", n)
-		}
+		time.Sleep(5 * time.Second)
+		store.set(func(s *source) { s.cut++ })
+		time.Sleep(5 * time.Second)
 		_ = m.Stop(t.Context())
+		if r.lost > 0 || r.longest > 1200*time.Millisecond {
+			t.Errorf("lost %d times, nothing heard for %s", r.lost, r.longest)
+		}
 	})
 }
+
+// TestCalls guards against calls of the store by VMs that follow a peer, and against many calls while it is down.
+func TestCalls(t *testing.T) {
+	for name, c := range map[string]struct{ peers, most int }{"next in order": {1, 45}, "any other": {2, 15}} {
+		synctest.Test(t, func(t *testing.T) {
+			sources := []*source{{version: 5}}
+			var peers []mirror.Peer
+			for i := range c.peers {
+				p := &source{version: 5}
+				sources = append(sources, p)
+				peers = append(peers, mirror.Peer{Name: string(rune('a' + i)), Source: p})
+			}
+			store := sources[0]
+			m := newMirror(store, relay{}, peers...)
+			_ = m.Start(t.Context())
+			time.Sleep(30 * time.Second)
+			if n := store.count(); n > 1 {
+				t.Errorf("%s: %d calls of the store while a peer is followed", name, n)
+			}
+			for _, s := range sources {
+				s.set(func(s *source) { s.down = true })
+			}
+			before := store.count()
+			time.Sleep(20 * time.Second)
+			if n := store.count() - before; n > c.most {
+				t.Errorf("%s: %d calls in 20 s of an outage", name, n)
+			}
+			_ = m.Stop(t.Context())
+		})
+	}
+}
--- a/relay/peer.go
+++ b/relay/peer.go
@@ -24,9 +24,6 @@
 	maxWait = 10 * time.Second
 )
 
-// ErrStale marks an answer of a VM that has itself not heard the store.
-var ErrStale = errors.New("the VM has not heard the store")
-
 // wireFollow asks for the changes after a revision.
 type wireFollow struct {
 	After  uint64 `json:"after"`
@@ -106,7 +103,7 @@
 		return mirror.Batch{}, errors.Wrap(err, "relay")
 	}
 	if !resp.Msg.Fresh {
-		return mirror.Batch{}, errors.Wrapf(ErrStale, "relay: for %d ms", resp.Msg.AgeMS)
+		return mirror.Batch{}, errors.Wrapf(mirror.ErrStale, "relay: for %d ms", resp.Msg.AgeMS)
 	}
 	return decode(resp.Msg), nil
 }
