Spend fewer calls of the store on leaving VMs, broken watches and outages

Ruled out: too short time limits (the watcher's second watch got no answer in 900 ms while a read of all entries was answered).

Change: a leaving VM goes on following, or watching if it did; a broken watch is followed by one read of all entries, and followers get only what that changed; followers call a lost store every 5 s; VMs with fast links watch (a new setting, link-rate); values above 4 KB are compressed once for all followers. relay has tests of its own now. TestLeave held that a leaving VM has no one to follow; it now holds both cases.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -26,6 +26,8 @@
 	Address, PeerAddress string
 	// FailureDomain is the failure domain it stands in.
 	FailureDomain string
+	// LinkRate is the rate of its network link in Mbit/s, or 0 if it isn't known.
+	LinkRate float64
 }
 
 // Fleet is the set of registered VMs. It serves many goroutines.
@@ -35,7 +37,7 @@
 	mu   sync.RWMutex
 	vms  *lapse.Set[VM]
 	list []VM
-	// order is the list by the hashes of the incarnations.
+	// order is the list and the own VM by link rate, the fastest first, and then by the hashes of the incarnations.
 	order   []VM
 	leaving bool
 }
@@ -127,8 +129,9 @@
 }
 
 // Readers returns the VMs that the own VM asks for changes in place of the store, the preferred one first; there are none
-// if it watches the store for others. The VMs with the lowest hashes of their incarnations watch, so that the duty moves
-// when a process ends, and the next in order takes over for one that is not heard.
+// if it watches the store for others. VMs with fast links watch, because all others get large changes from them. Among equals
+// the hashes of the incarnations decide, so that the duty moves when a process ends. The next in order takes over for one
+// that is not heard.
 func (f *Fleet) Readers() []VM {
 	f.mu.RLock()
 	list := f.order
@@ -136,7 +139,6 @@
 	watching := (len(list) + perReader - 1) / perReader
 	rank := slices.IndexFunc(list, func(vm VM) bool { return vm.Name == f.self.Name })
 	if rank < watching {
-		// A VM that leaves is not in the list and asks the store itself.
 		return nil
 	}
 	first := rank % watching
@@ -155,12 +157,17 @@
 			list = append(list, vm)
 		}
 	}
+	// A VM that leaves follows the VMs that it followed before, or watches the store until its process ends.
+	f.order = append(slices.Clone(list), f.self)
 	if !f.leaving {
 		list = append(list, f.self)
 	}
 	slices.SortFunc(list, func(a, b VM) int { return strings.Compare(a.Name, b.Name) })
-	f.list, f.order = list, slices.Clone(list)
+	f.list = list
 	slices.SortFunc(f.order, func(a, b VM) int {
-		return cmp.Compare(xxhash.Sum64String(a.Incarnation), xxhash.Sum64String(b.Incarnation))
+		return cmp.Or(
+			cmp.Compare(b.LinkRate, a.LinkRate),
+			cmp.Compare(xxhash.Sum64String(a.Incarnation), xxhash.Sum64String(b.Incarnation)),
+		)
 	})
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -53,14 +53,35 @@
 	}
 }
 
-// TestLeave guards against a VM that leaves and is still told to callers.
+// TestLinkRate guards against a fleet in which a VM with a slow link passes large configurations on to all others.
+func TestLinkRate(t *testing.T) {
+	Convey("Given VMs with different links", t, func() {
+		f := fleet.New(fleet.VM{Name: "slow", Incarnation: "s", LinkRate: 10})
+		for i, rate := range []float64{10, 200, 50, 0} {
+			f.Put(fleet.VM{Name: fmt.Sprint("vm-", i), Incarnation: fmt.Sprint(i), LinkRate: rate})
+		}
+		readers := f.Readers()
+		So(readers, ShouldHaveLength, 2)
+		So(readers[0].Name, ShouldEqual, "vm-1")
+		So(readers[1].Name, ShouldEqual, "vm-2")
+	})
+}
+
+// TestLeave guards against a VM that leaves and is still told to callers, and against a series of planned stops in which
+// each VM that leaves watches the store for itself.
 func TestLeave(t *testing.T) {
 	Convey("Given a VM that leaves", t, func() {
 		f := fleet.New(fleet.VM{Name: "a"})
-		f.Put(fleet.VM{Name: "b"})
+		f.Put(fleet.VM{Name: "b", LinkRate: 10})
 		So(f.List(), ShouldHaveLength, 2)
 		f.Leave()
-		So(f.List(), ShouldResemble, []fleet.VM{{Name: "b"}})
+		So(f.List(), ShouldResemble, []fleet.VM{{Name: "b", LinkRate: 10}})
+		So(f.Readers(), ShouldResemble, []fleet.VM{{Name: "b", LinkRate: 10}})
+	})
+	Convey("Given a VM that watches the store for the others and leaves", t, func() {
+		f := fleet.New(fleet.VM{Name: "a", LinkRate: 10})
+		f.Put(fleet.VM{Name: "b"})
+		f.Leave()
 		So(f.Readers(), ShouldBeEmpty)
 	})
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -107,6 +107,7 @@
 	}
 	self := fleet.VM{
 		Name: s.Name, Incarnation: rand.Text(), Address: l.callers.Addr().String(), FailureDomain: s.FailureDomain,
+		LinkRate: s.LinkRate,
 	}
 	if l.peers != nil {
 		self.PeerAddress = l.peers.Addr().String()
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -18,6 +18,8 @@
 	StoreAddress string
 	// PeerAddress is for other VMs; without it the VM and the others each watch the store themselves.
 	PeerAddress string
+	// LinkRate is the rate of the VM's network link in Mbit/s, or 0 if it isn't known.
+	LinkRate float64
 	// MetricsAddress serves the metrics; it may be empty.
 	MetricsAddress string
 	// AddressLifetime is how long callers may keep addresses.
@@ -46,6 +48,7 @@
 		DirectoryAddress: document.Get(t, "directory-address", address),
 		StoreAddress:     document.Get(t, "store-address", address),
 		PeerAddress:      document.Get(t, "peer-address", document.Setting[string]{Optional: true, Check: document.Address}),
+		LinkRate:         document.Get(t, "link-rate", document.Setting[float64]{Optional: true, Check: document.Range(0.0, 1e6)}),
 		MetricsAddress:   document.Get(t, "metrics-address", document.Setting[string]{Optional: true, Check: document.Address}),
 		AddressLifetime: document.Get(t, "address-lifetime", document.Setting[time.Duration]{
 			Optional: true, Default: 2 * time.Second, Check: document.Range(100*time.Millisecond, time.Minute),
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -37,7 +37,7 @@
 	// gather is the pause after a watch that returned changes, so that a series of changes costs few calls.
 	gather = 200 * time.Millisecond
 	// gatherAtStart is the same while the fleet starts and all its VMs and upstreams register themselves.
-	gatherAtStart = 500 * time.Millisecond
+	gatherAtStart = 800 * time.Millisecond
 	// startTime is the time for which a process counts as starting.
 	startTime = 3 * time.Second
 	// minPause and maxPause bound the pause after a failed call.
@@ -59,7 +59,7 @@
 	// nextPause is the time between calls of a lost store by the VM that is next to watch it.
 	nextPause = 500 * time.Millisecond
 	// followerPause is the same for the other VMs that have peers to follow.
-	followerPause = 2 * time.Second
+	followerPause = 5 * time.Second
 )
 
 // Config holds what a mirror works with.
@@ -164,7 +164,7 @@
 			m.config.Log.WithField("revision", revision).Info("history of the store is gone, reading all entries")
 			known, storeOnly = false, true
 		case known && !broken:
-			// A watch may break although the store answers, so it is asked again at once.
+			// A watch may break although the store answers, so it is asked for all entries at once.
 			m.config.Log.WithError(err).Info("watch of the store is broken")
 			broken = true
 		default:
@@ -189,6 +189,7 @@
 	pause time.Duration
 	// peer is nil for the store.
 	peer *Peer
+	// wait is 0 for a call that is answered at once; the store is then asked for all entries.
 	wait time.Duration
 	// maxAge is the age of the peer's knowledge above which it counts as failed.
 	maxAge time.Duration
@@ -228,7 +229,7 @@
 	return s
 }
 
-// store returns the step that asks the store.
+// store returns the step that watches the store, or reads all entries if the last watch is broken.
 func (m *Mirror) store(broken bool) step {
 	m.asked = time.Now()
 	if broken {
@@ -258,7 +259,9 @@
 		} else if known {
 			timeout = checkTimeout
 		}
-	case known && s.wait > 0:
+	case s.wait == 0:
+		known = false
+	case known:
 		timeout = s.wait + storeSlack
 	}
 	call, cancel := context.WithTimeout(ctx, timeout)
--- a/relay/log.go
+++ b/relay/log.go
@@ -31,14 +31,33 @@
 	return &Log{entries: make(map[string]mirror.Entry), changed: make(chan struct{})}
 }
 
+// replace removes the entries that are not in a whole batch. Followers are told of these removals, so that they need not
+// read all entries as well.
+func (l *Log) replace(b mirror.Batch) {
+	if l.revision == 0 || b.Revision < l.revision {
+		clear(l.entries)
+		l.removed, l.floor = nil, b.Revision
+		return
+	}
+	listed := make(map[string]bool, len(b.Entries))
+	for _, e := range b.Entries {
+		listed[e.Key] = true
+	}
+	for key := range l.entries {
+		if !listed[key] {
+			delete(l.entries, key)
+			l.removed = append(l.removed, mirror.Entry{Key: key, Revision: b.Revision, Deleted: true})
+		}
+	}
+}
+
 // Take enters what a source told at the time heard.
 func (l *Log) Take(b mirror.Batch, heard time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.heard, l.fresh = heard, true
 	if b.Whole {
-		clear(l.entries)
-		l.removed, l.floor = nil, b.Revision
+		l.replace(b)
 	}
 	for _, e := range b.Entries {
 		if e.Deleted {
--- a/relay/peer.go
+++ b/relay/peer.go
@@ -44,6 +44,8 @@
 	Value    []byte `json:"value,omitempty"`
 	Revision uint64 `json:"revision"`
 	Deleted  bool   `json:"deleted,omitempty"`
+	// Packed tells that the value is compressed.
+	Packed bool `json:"packed,omitempty"`
 }
 
 // codec is JSON for messages without a protobuf schema.
@@ -60,12 +62,13 @@
 
 // Handler serves the log to followers.
 func Handler(l *Log) http.Handler {
+	p := &packer{}
 	return connect.NewUnaryHandler(procedure, func(ctx context.Context, req *connect.Request[wireFollow]) (*connect.Response[wireBatch], error) {
 		wait := min(time.Duration(req.Msg.WaitMS)*time.Millisecond, maxWait)
 		ctx, cancel := context.WithTimeout(ctx, wait)
 		defer cancel()
 		b, fresh := l.Since(ctx, req.Msg.After)
-		return connect.NewResponse(encode(b, fresh)), nil
+		return connect.NewResponse(encode(b, fresh, p)), nil
 	}, connect.WithCodec(codec{}))
 }
 
@@ -105,21 +108,29 @@
 	if !resp.Msg.Fresh {
 		return mirror.Batch{}, errors.Wrapf(mirror.ErrStale, "relay: for %d ms", resp.Msg.AgeMS)
 	}
-	return decode(resp.Msg), nil
+	return decode(resp.Msg)
 }
 
-func encode(b mirror.Batch, fresh bool) *wireBatch {
+func encode(b mirror.Batch, fresh bool, p *packer) *wireBatch {
 	w := &wireBatch{Whole: b.Whole, Revision: b.Revision, AgeMS: b.Age.Milliseconds(), Fresh: fresh}
 	for _, e := range b.Entries {
-		w.Entries = append(w.Entries, wireEntry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
+		value, packed := p.pack(e)
+		w.Entries = append(w.Entries, wireEntry{Key: e.Key, Value: value, Revision: e.Revision, Deleted: e.Deleted, Packed: packed})
 	}
 	return w
 }
 
-func decode(w *wireBatch) mirror.Batch {
+func decode(w *wireBatch) (mirror.Batch, error) {
 	b := mirror.Batch{Whole: w.Whole, Revision: w.Revision, Age: time.Duration(w.AgeMS) * time.Millisecond}
 	for _, e := range w.Entries {
-		b.Entries = append(b.Entries, mirror.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
+		value := e.Value
+		if e.Packed {
+			var err error
+			if value, err = unpack(e.Value); err != nil {
+				return mirror.Batch{}, err
+			}
+		}
+		b.Entries = append(b.Entries, mirror.Entry{Key: e.Key, Value: value, Revision: e.Revision, Deleted: e.Deleted})
 	}
-	return b
+	return b, nil
 }
--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,148 @@
+package relay_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fulmarhitch/fulmarhitch/mirror"
+	"github.com/fulmarhitch/fulmarhitch/relay"
+)
+
+// meter counts the bytes that a listener's connections send.
+type meter struct {
+	net.Listener
+	sent atomic.Int64
+}
+
+func (m *meter) Accept() (net.Conn, error) {
+	c, err := m.Listener.Accept()
+	return &meteredConn{c, m}, err
+}
+
+type meteredConn struct {
+	net.Conn
+	meter *meter
+}
+
+func (c *meteredConn) Write(b []byte) (int, error) {
+	c.meter.sent.Add(int64(len(b)))
+	return c.Conn.Write(b)
+}
+
+// serve serves the log and returns a follower's view of it.
+func serve(t *testing.T, l *relay.Log) (*relay.Peer, *meter) {
+	s := httptest.NewUnstartedServer(relay.Handler(l))
+	m := &meter{Listener: s.Listener}
+	s.Listener = m
+	s.Start()
+	t.Cleanup(s.Close)
+	client := relay.NewClient()
+	t.Cleanup(client.CloseIdleConnections)
+	return relay.NewPeer(client, strings.TrimPrefix(s.URL, "http://")), m
+}
+
+// TestLargeConfiguration guards against a VM whose link is full for seconds because it passes a configuration of 1,000
+// routes on to 110 followers.
+func TestLargeConfiguration(t *testing.T) {
+	Convey("Given a configuration of 1,000 routes", t, func() {
+		var b strings.Builder
+		for i := range 1000 {
+			b.WriteString(`{"prefix":"/route-`)
+			b.WriteString(http.StatusText(400 + i%18))
+			b.WriteString(`/","service":"records","timeout":"3000ms","attempts":2,"target":"400ms"},`)
+		}
+		l := relay.NewLog()
+		l.Take(mirror.Batch{Whole: true, Revision: 7, Entries: []mirror.Entry{
+			{Key: "rules", Value: []byte(b.String()), Revision: 7}, {Key: "small", Value: []byte("x"), Revision: 3},
+		}}, time.Now())
+		peer, m := serve(t, l)
+		for range 10 {
+			got, err := peer.Snapshot(t.Context())
+			So(err, ShouldBeNil)
+			So(got.Entries, ShouldHaveLength, 2)
+			So(string(got.Entries[0].Value), ShouldEqual, "x")
+			So(string(got.Entries[1].Value), ShouldEqual, b.String())
+		}
+		So(m.sent.Load(), ShouldBeLessThan, 10*b.Len()/4)
+	})
+}
+
+// TestSince guards against a follower that misses a removal, waits although there is news, or takes old knowledge for new.
+func TestSince(t *testing.T) {
+	put := func(key string, revision uint64) mirror.Entry { return mirror.Entry{Key: key, Revision: revision} }
+	gone := func(key string, revision uint64) mirror.Entry {
+		return mirror.Entry{Key: key, Revision: revision, Deleted: true}
+	}
+	for name, c := range map[string]struct {
+		after uint64
+		whole bool
+		keys  string
+	}{
+		"nothing is known":       {0, true, "b a"},
+		"before the first read":  {2, true, "b a"},
+		"a removal and a change": {4, false, "c a"},
+		"the last change":        {5, false, "a"},
+		"up to date":             {6, false, ""},
+	} {
+		Convey(name, t, func() {
+			l := relay.NewLog()
+			l.Take(mirror.Batch{Whole: true, Revision: 4, Entries: []mirror.Entry{put("a", 2), put("b", 3), put("c", 4)}}, time.Now())
+			l.Take(mirror.Batch{Revision: 6, Entries: []mirror.Entry{gone("c", 5), put("a", 6)}}, time.Now().Add(-time.Second))
+			peer, _ := serve(t, l)
+			got, err := peer.Watch(t.Context(), c.after, 20*time.Millisecond)
+			So(err, ShouldBeNil)
+			var keys []string
+			for _, e := range got.Entries {
+				keys = append(keys, e.Key)
+			}
+			So(strings.Join(keys, " "), ShouldEqual, c.keys)
+			So(got.Whole, ShouldEqual, c.whole)
+			So(got.Age, ShouldBeGreaterThanOrEqualTo, time.Second)
+		})
+	}
+}
+
+// TestReadAgain guards against followers that all get every entry again because the VM that they follow has read them.
+func TestReadAgain(t *testing.T) {
+	Convey("Given a follower that knows an earlier revision", t, func() {
+		l := relay.NewLog()
+		l.Take(mirror.Batch{Whole: true, Revision: 4, Entries: []mirror.Entry{
+			{Key: "a", Revision: 2}, {Key: "b", Revision: 3}, {Key: "c", Revision: 4},
+		}}, time.Now())
+		l.Take(mirror.Batch{Whole: true, Revision: 7, Entries: []mirror.Entry{{Key: "a", Revision: 2}, {Key: "c", Revision: 6}}}, time.Now())
+		peer, _ := serve(t, l)
+		got, err := peer.Watch(t.Context(), 4, 0)
+		So(err, ShouldBeNil)
+		So(got, ShouldResemble, mirror.Batch{Revision: 7, Age: got.Age, Entries: []mirror.Entry{
+			{Key: "c", Revision: 6}, {Key: "b", Revision: 7, Deleted: true},
+		}})
+	})
+}
+
+// TestLost guards against followers that wait on a VM that no longer hears the store.
+func TestLost(t *testing.T) {
+	Convey("Given a follower that waits", t, func() {
+		l := relay.NewLog()
+		l.Take(mirror.Batch{Whole: true, Revision: 1}, time.Now())
+		peer, _ := serve(t, l)
+		ended := make(chan error, 1)
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		go func() {
+			_, err := peer.Watch(ctx, 1, 5*time.Second)
+			ended <- err
+		}()
+		time.Sleep(50 * time.Millisecond)
+		l.Lost()
+		So(errors.Is(<-ended, mirror.ErrStale), ShouldBeTrue)
+	})
+}
