Map stated states of upstreams in one place

The mapping of peers' events to upstream states stood in planner, that of responses and health endpoints in route, and entry used both.

--- a/entry/probe.go
+++ b/entry/probe.go
@@ -10,9 +10,8 @@
 	"github.com/fulmarhitch/fulmarhitch/group"
 	"github.com/fulmarhitch/fulmarhitch/kernel"
 	"github.com/fulmarhitch/fulmarhitch/member"
-	"github.com/fulmarhitch/fulmarhitch/planner"
 	"github.com/fulmarhitch/fulmarhitch/probe"
-	"github.com/fulmarhitch/fulmarhitch/route"
+	"github.com/fulmarhitch/fulmarhitch/statement"
 	"github.com/fulmarhitch/fulmarhitch/upstream"
 )
 
@@ -22,7 +21,7 @@
 
 // publish tells the peers the state of an upstream.
 func (e *Entry) publish(service, name string, s upstream.State) {
-	e.gossip.Publish(planner.EventOf(service, name, s))
+	e.gossip.Publish(statement.Event(service, name, s))
 }
 
 func (e *Entry) newProber() kernel.Service {
@@ -76,7 +75,7 @@
 func (e *Entry) probed(t probe.Target, state string, err error) {
 	observed := upstream.Failing
 	if err == nil {
-		observed = route.StateOf(exchange.State(state))
+		observed = statement.OfResponse(exchange.State(state))
 	}
 	e.observed(t.Service, t.Upstream, observed, group.Probe, time.Now())
 }
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -15,7 +15,7 @@
 	"github.com/fulmarhitch/fulmarhitch/peerpb"
 	"github.com/fulmarhitch/fulmarhitch/plan"
 	"github.com/fulmarhitch/fulmarhitch/ring"
-	"github.com/fulmarhitch/fulmarhitch/upstream"
+	"github.com/fulmarhitch/fulmarhitch/statement"
 )
 
 // checkInterval is how often the membership is compared with the plan's. A home that died is replaced that much
@@ -150,7 +150,7 @@
 		p.config.Metrics.Event("member")
 	case *peerpb.Event_Upstream:
 		p.config.Metrics.Event("upstream")
-		p.config.Groups.Observe(k.Upstream.GetService(), k.Upstream.GetUpstream(), StateOf(k.Upstream.GetState()), group.Peer, now)
+		p.config.Groups.Observe(k.Upstream.GetService(), k.Upstream.GetUpstream(), statement.OfEvent(k.Upstream.GetState()), group.Peer, now)
 	case *peerpb.Event_Suspect:
 		p.config.Metrics.Event("suspect")
 		p.config.Suspect(k.Suspect)
@@ -193,34 +193,3 @@
 	}
 	return true
 }
-
-// StateOf returns the state that an event reports.
-func StateOf(s peerpb.UpstreamEvent_State) upstream.State {
-	switch s {
-	case peerpb.UpstreamEvent_STATE_READY:
-		return upstream.Ready
-	case peerpb.UpstreamEvent_STATE_COLD:
-		return upstream.Cold
-	case peerpb.UpstreamEvent_STATE_DRAINING:
-		return upstream.Draining
-	case peerpb.UpstreamEvent_STATE_EJECTED:
-		return upstream.Failing
-	default:
-		return upstream.Unstated
-	}
-}
-
-// EventOf returns the event that reports a state.
-func EventOf(service, name string, s upstream.State) *peerpb.Event {
-	state := peerpb.UpstreamEvent_STATE_READY
-	switch s {
-	case upstream.Cold:
-		state = peerpb.UpstreamEvent_STATE_COLD
-	case upstream.Draining:
-		state = peerpb.UpstreamEvent_STATE_DRAINING
-	case upstream.Failing:
-		state = peerpb.UpstreamEvent_STATE_EJECTED
-	case upstream.Ready, upstream.Unstated:
-	}
-	return &peerpb.Event{Kind: &peerpb.Event_Upstream{Upstream: &peerpb.UpstreamEvent{Service: service, Upstream: name, State: state}}}
-}
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -22,7 +22,6 @@
 	"github.com/fulmarhitch/fulmarhitch/plan"
 	"github.com/fulmarhitch/fulmarhitch/planner"
 	"github.com/fulmarhitch/fulmarhitch/ring"
-	"github.com/fulmarhitch/fulmarhitch/upstream"
 )
 
 // deaf is a transport without peers.
@@ -84,12 +83,3 @@
 		})
 	})
 }
-
-// TestStates guards against an upstream's state that changes its meaning between VMs.
-func TestStates(t *testing.T) {
-	Convey("Each state comes back from its event", t, func() {
-		for _, s := range []upstream.State{upstream.Ready, upstream.Cold, upstream.Draining, upstream.Failing} {
-			So(planner.StateOf(planner.EventOf("s", "u", s).GetUpstream().GetState()), ShouldEqual, s)
-		}
-	})
-}
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -15,6 +15,7 @@
 	"github.com/fulmarhitch/fulmarhitch/plan"
 	"github.com/fulmarhitch/fulmarhitch/quarantine"
 	"github.com/fulmarhitch/fulmarhitch/request"
+	"github.com/fulmarhitch/fulmarhitch/statement"
 	"github.com/fulmarhitch/fulmarhitch/upstream"
 )
 
@@ -115,7 +116,7 @@
 	now := time.Now()
 	a.away += now.Sub(began)
 	a.dispatcher.Release(b, dispatch.Result{
-		Class: classOf(res), State: StateOf(res.State), ServiceTime: now.Sub(began),
+		Class: classOf(res), State: statement.OfResponse(res.State), ServiceTime: now.Sub(began),
 		Load: dispatch.Load{Running: res.Load.Running, Waiting: res.Load.Waiting, Slots: res.Load.Slots},
 	})
 	a.observe(b.Upstream.Name, res, now)
@@ -142,7 +143,7 @@
 		c.Suspects.Died(a.fingerprint, a.request.Service, name, now)
 		a.ticket.Suspect = true
 	}
-	if state := StateOf(res.State); state != upstream.Unstated {
+	if state := statement.OfResponse(res.State); state != upstream.Unstated {
 		c.Observed(a.request.Service, name, state, now)
 	}
 }
@@ -257,19 +258,3 @@
 		return upstream.Lost
 	}
 }
-
-// StateOf returns the state that a response or a health endpoint states.
-func StateOf(s exchange.State) upstream.State {
-	switch s {
-	case exchange.Ready:
-		return upstream.Ready
-	case exchange.Cold:
-		return upstream.Cold
-	case exchange.Draining:
-		return upstream.Draining
-	case exchange.Failing:
-		return upstream.Failing
-	default:
-		return upstream.Unstated
-	}
-}
