--- a/Makefile
+++ b/Makefile
@@ -17,14 +17,14 @@
 
 # The tests of whole fleets run alone: their processes keep time with each other over real sockets, and other packages'
 # tests would take the processor away from them.
-FLEET_TESTS := ./proof ./rehearsal
+FLEET_TESTS := ./proof ./rehearsal ./soak
 
 unit:
-	go test -count=1 -timeout 300s $$(go list ./... | grep -v -e /proof$$ -e /rehearsal$$)
+	go test -count=1 -timeout 300s $$(go list ./... | grep -v -e /proof$$ -e /rehearsal$$ -e /soak$$)
 	go test -count=1 -timeout 300s -p 1 $(FLEET_TESTS)
 
 race:
-	go test -race -count=1 -timeout 900s $$(go list ./... | grep -v -e /proof$$ -e /rehearsal$$)
+	go test -race -count=1 -timeout 900s $$(go list ./... | grep -v -e /proof$$ -e /rehearsal$$ -e /soak$$)
 	go test -race -count=1 -timeout 900s -p 1 $(FLEET_TESTS)
 
 demo: build
