--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -148,7 +148,6 @@
 
 // recorder keeps the longest time for which nothing was heard.
 type recorder struct {
-	relay
 	last    time.Time
 	longest time.Duration
 	lost    int
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -11,8 +11,8 @@
 	"github.com/fulmarhitch/fulmarhitch/platform/standin"
 )
 
-// fault begins a fault that lasts for the time and returns its name and what ends it. Whatever is random is drawn before
-// it returns, so that the series depends on the seed only.
+// fault returns a fault's name, what begins it and what ends it. Whatever is random is drawn before it returns, so that the
+// series depends on the seed only.
 type fault func(s *Soak, r *rand.Rand) (name string, begin, end func())
 
 var faults = []fault{killed, stopped, frozen, storeLink, upstreamLink, behaviour, storeFault, forgotten, configured, draining}
