Decide in one place which ejected upstreams may be used

Acquire, Free and Slots of pool asked two functions in turn, and Acquire looked at all upstreams again when the answer was that none may be used. trust gives the whole answer now. No behaviour changes; tests of pool, dispatch, route, measure, proof and rehearsal pass.

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -110,8 +110,10 @@
 	}
 	p.estimate(now)
 	best := p.best(r, exclude, suspect, none, now)
-	if best == nil && p.distrust(now) {
-		best = p.best(r, exclude, suspect, p.lastResort(exclude, now), now)
+	if best == nil {
+		if t := p.trust(exclude, now); t != none {
+			best = p.best(r, exclude, suspect, t, now)
+		}
 	}
 	if best == nil {
 		return Slot{}, false
@@ -161,9 +163,12 @@
 	return best
 }
 
-// lastResort returns which ejected upstreams may be used when the others have no free slot. While there are others, a
-// first attempt is not wasted on an upstream that takes no connection, and a second one on no ejected upstream at all.
-func (p *Pool) lastResort(exclude string, now time.Time) trust {
+// trust returns which ejected upstreams may be used when the others have no free slot. While there are others, a first
+// attempt is not wasted on an upstream that takes no connection, and a second one on no ejected upstream at all.
+func (p *Pool) trust(exclude string, now time.Time) trust {
+	if !p.distrust(now) {
+		return none
+	}
 	sound := slices.ContainsFunc(p.members, func(m *member) bool {
 		return m.declared.Name != exclude && p.usable(m, none, now)
 	})
@@ -208,7 +213,7 @@
 // Free returns the number of free slots of usable upstreams.
 func (p *Pool) Free(now time.Time) int {
 	free := 0
-	t := p.trust(now)
+	t := p.trust("", now)
 	for _, m := range p.members {
 		if p.usable(m, t, now) {
 			free += m.state.Free(now)
@@ -220,7 +225,7 @@
 // Slots returns the number of slots of usable upstreams, free or not.
 func (p *Pool) Slots(now time.Time) int {
 	slots := 0
-	t := p.trust(now)
+	t := p.trust("", now)
 	for _, m := range p.members {
 		if p.usable(m, t, now) {
 			slots += m.state.Limit()
@@ -267,14 +272,6 @@
 	}
 }
 
-// trust returns which ejected upstreams count as room for first attempts.
-func (p *Pool) trust(now time.Time) trust {
-	if p.distrust(now) {
-		return p.lastResort("", now)
-	}
-	return none
-}
-
 // distrust reports whether more than half of the upstreams are ejected. Then the fault is more likely in the
 // measurement or the network than in the upstreams, and ejected ones are used when the others have no free slot.
 func (p *Pool) distrust(now time.Time) bool {
