Use one proxy, one settings writer and one free address in demos and tests

The soak had written again what stood elsewhere: rehearsal had a proxy of its own (now package link), proof gave each program a loopback address of its own (now in program.FreeAddress, which the demos and measure-added share, in place of ports that another connection may take), demo-platform wrote a gateway's settings and served the store's stand-in (now standin/placement and Store.Listen, also for the test of a blocked output), and both checked answers with the same prefix (Answer.IsOwn). Assertions and bounds are as they were; a cut in rehearsal resets connections where it closed them.

--- a/cmd/demo-platform/main.go
+++ b/cmd/demo-platform/main.go
@@ -3,10 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"net"
-	"net/http"
 	"os"
-	"path/filepath"
 	"sync"
 	"time"
 
@@ -15,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/fulmarhitch/fulmarhitch/platform/standin"
+	"github.com/fulmarhitch/fulmarhitch/standin/placement"
 	"github.com/fulmarhitch/fulmarhitch/standin/program"
 )
 
@@ -85,12 +83,10 @@
 
 // start starts the stand-ins and the gateways.
 func (d *demo) start(bin, folder string) error {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := d.store.Listen()
 	if err != nil {
-		return errors.Wrap(err, "demo: store")
+		return err
 	}
-	server := &http.Server{Handler: d.store.Handler(), ReadHeaderTimeout: stopTimeout}
-	go func() { _ = server.Serve(l) }()
 	d.store.Put(standin.ConfigurationKey, standin.Configuration(1))
 	for _, service := range []string{"read", "write"} {
 		for i := range upstreams {
@@ -104,7 +100,7 @@
 		}
 	}
 	for i := range gateways {
-		if err := d.startGateway(bin, folder, fmt.Sprintf("vm-%d", i), l.Addr().String()); err != nil {
+		if err := d.startGateway(bin, folder, fmt.Sprintf("vm-%d", i), address); err != nil {
 			return err
 		}
 	}
@@ -113,22 +109,12 @@
 
 // startGateway starts one gateway with settings of its own.
 func (d *demo) startGateway(bin, folder, name, store string) error {
-	text := fmt.Sprintf("name = %q\nfailure-domain = \"zone-a\"\nstore-address = %q\nretry-burst = 40\nquestions-per-second = 500\n", name, store)
-	for _, setting := range []string{"address", "ready-address", "directory-address", "peer-address", "metrics-address"} {
-		address, err := program.FreeAddress()
-		if err != nil {
-			return err
-		}
-		text += fmt.Sprintf("%s = %q\n", setting, address)
-		if setting == "directory-address" {
-			d.directories = append(d.directories, address)
-		}
-	}
-	file := filepath.Join(folder, name+".toml")
-	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
-		return errors.Wrap(err, "demo: settings")
+	at, err := placement.New(folder, name, store, "")
+	if err != nil {
+		return err
 	}
-	p, err := program.Start(bin, folder, name, "fulmarhitch", "gateway", "--settings", file)
+	d.directories = append(d.directories, at.DirectoryAddress)
+	p, err := program.Start(bin, folder, name, "fulmarhitch", "gateway", "--settings", at.File)
 	if err != nil {
 		return err
 	}
--- a/cmd/demo-platform/traffic.go
+++ b/cmd/demo-platform/traffic.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -58,7 +57,7 @@
 func (c *counts) add(path string, a standin.Answer) {
 	switch a.Status {
 	case http.StatusOK:
-		if !strings.HasPrefix(a.Body, "answer to "+a.IDs[len(a.IDs)-1]+" ") {
+		if !a.IsOwn() {
 			c.mismatched++
 		}
 		c.answered++
--- a/proof/fixture_test.go
+++ b/proof/fixture_test.go
@@ -14,7 +14,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -25,6 +24,7 @@
 	"github.com/fulmarhitch/fulmarhitch/envelope"
 	"github.com/fulmarhitch/fulmarhitch/settings"
 	"github.com/fulmarhitch/fulmarhitch/standin/platform"
+	"github.com/fulmarhitch/fulmarhitch/standin/program"
 	"github.com/fulmarhitch/fulmarhitch/standin/server"
 	"github.com/fulmarhitch/fulmarhitch/vmlist"
 )
@@ -138,17 +138,11 @@
 	}
 }
 
-var addresses atomic.Uint32
-
-// freeAddress returns a free port of a loopback address that nothing else uses, so that no outgoing connection takes
-// the port before the program listens.
 func (f *fleet) freeAddress() string {
 	f.t.Helper()
-	pid := os.Getpid()
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 100+pid>>8%100, pid%256, 1+addresses.Add(1)%250))
+	address, err := program.FreeAddress()
 	f.must(err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return address
 }
 
 // program starts a program; it is killed at the end of the test.
--- a/rehearsal/configuration_test.go
+++ b/rehearsal/configuration_test.go
@@ -94,7 +94,7 @@
 			reader := f.readers()
 			var other *vm
 			for _, v := range f.vms {
-				v.link.set(reader[v.Member().Name])
+				v.cut(reader[v.Member().Name])
 				if !reader[v.Member().Name] {
 					other = v
 				}
@@ -108,14 +108,14 @@
 			f.so(f.reach(3, inForce), ShouldBeTrue)
 			f.so(f.stored(), ShouldEqual, 1)
 			for _, v := range f.vms {
-				v.link.set(false)
+				v.cut(false)
 			}
 			f.so(until(inForce, func() bool { return f.stored() == 3 }), ShouldBeTrue)
 			f.so(accepted(f.submit(other, 3, "d")), ShouldBeTrue)
 			return 4
 		}},
 		"cut off from the platform": {2, 4, func(f *fleet) int {
-			f.vms[3].link.set(true)
+			f.vms[3].cut(true)
 			f.so(accepted(f.submit(f.vms[0], 1, "a")), ShouldBeTrue)
 			f.so(accepted(f.submit(f.vms[1], 2, "b")), ShouldBeTrue)
 			return 3
@@ -150,7 +150,7 @@
 		}},
 		"cut off from everybody": {2, 2, func(f *fleet) int {
 			last := f.vms[0]
-			last.link.set(true)
+			last.cut(true)
 			f.vms[1].stop()
 			f.vms = f.vms[:1]
 			refused := func() bool {
@@ -161,7 +161,7 @@
 			f.so(until(inForce, refused), ShouldBeTrue)
 			// The last contact may be a ping of up to two rounds before the cut.
 			f.so(time.Since(cut), ShouldBeGreaterThan, 3*time.Second)
-			last.link.set(false)
+			last.cut(false)
 			f.so(until(soon, func() bool { return accepted(last.lookup()) }), ShouldBeTrue)
 			return 1
 		}},
--- a/rehearsal/fleet_test.go
+++ b/rehearsal/fleet_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -18,6 +17,7 @@
 
 	"github.com/fulmarhitch/fulmarhitch/entry"
 	"github.com/fulmarhitch/fulmarhitch/envelope"
+	"github.com/fulmarhitch/fulmarhitch/link"
 	"github.com/fulmarhitch/fulmarhitch/settings"
 	"github.com/fulmarhitch/fulmarhitch/standin/platform"
 	"github.com/fulmarhitch/fulmarhitch/standin/server"
@@ -31,67 +31,22 @@
 	soon = 15 * time.Second
 )
 
-// link is a TCP relay between one VM and the platform that can be cut.
-type link struct {
-	net.Listener
-	mu   sync.Mutex
-	cut  bool
-	open map[net.Conn]bool
-}
-
-func newLink(t *testing.T, to string) *link {
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	l := &link{Listener: inner, open: make(map[net.Conn]bool)}
-	t.Cleanup(func() { _ = l.Close(); l.set(true) })
-	go func() {
-		for {
-			c, err := inner.Accept()
-			if err != nil {
-				return
-			}
-			go l.relay(c, to)
-		}
-	}()
-	return l
-}
-
-func (l *link) relay(c net.Conn, to string) {
-	defer func() { _ = c.Close() }()
-	l.mu.Lock()
-	cut := l.cut
-	l.open[c] = true
-	l.mu.Unlock()
-	out, err := net.Dial("tcp", to)
-	if cut || err != nil {
-		return
-	}
-	defer func() { _ = out.Close() }()
-	go func() { _, _ = io.Copy(out, c); _ = out.Close() }()
-	_, _ = io.Copy(c, out)
-}
-
-func (l *link) set(cut bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.cut = cut
-	for c := range l.open {
-		if cut {
-			_ = c.Close()
-		}
-		delete(l.open, c)
-	}
-}
-
 // vm is one entry VM with its own link to the platform.
 type vm struct {
 	*entry.Entry
-	link  *link
+	link  *link.Link
 	close sync.Once
 }
 
+// cut cuts the VM off from the platform, or ends the cut.
+func (v *vm) cut(isCut bool) {
+	if isCut {
+		v.link.Set(link.Reset)
+		return
+	}
+	v.link.Set(link.Sound)
+}
+
 func (v *vm) stop() {
 	v.close.Do(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
@@ -189,10 +144,14 @@
 func (f *fleet) startWith(name string, domain int, peers []string) *vm {
 	quiet := logrus.New()
 	quiet.SetOutput(io.Discard)
-	l := newLink(f.t, f.address)
+	l, err := link.New(f.address)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(l.Close)
 	e, err := entry.New(&settings.Settings{
 		Name: name, FailureDomain: fmt.Sprintf("d%d", domain), Address: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
-		StoreAddress: l.Addr().String(), VMListAddress: l.Addr().String(), Peers: peers, StopTimeout: 10 * time.Second,
+		StoreAddress: l.Address(), VMListAddress: l.Address(), Peers: peers, StopTimeout: 10 * time.Second,
 	}, logrus.NewEntry(quiet))
 	if err == nil {
 		err = e.Start(context.Background())
--- a/rehearsal/leaving_test.go
+++ b/rehearsal/leaving_test.go
@@ -38,7 +38,7 @@
 		}},
 		"VM list": {0, func(f *fleet, u *server.Server) {
 			for _, v := range f.vms[1:] {
-				v.link.set(true)
+				v.cut(true)
 			}
 			f.listVMs(u.Address())
 			n := f.platform.Counts().ByEndpoint["vms"]
@@ -49,7 +49,7 @@
 		"file": {0, func(f *fleet, u *server.Server) {
 			f.gone = u
 			for _, v := range f.vms[1:] {
-				v.link.set(true)
+				v.cut(true)
 			}
 			go f.submit(f.vms[0], 1, "a")
 			f.so(until(soon, func() bool { return f.vms[0].status().Generation == 2 }), ShouldBeTrue)
--- a/soak/record.go
+++ b/soak/record.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 
 	"github.com/fulmarhitch/fulmarhitch/platform/standin"
@@ -29,8 +28,8 @@
 	for i, status := range a.Statuses {
 		r.attempts = append(r.attempts, attempt{a.IDs[i], method, status})
 	}
-	if last := a.IDs[len(a.IDs)-1]; a.Status == http.StatusOK && !strings.HasPrefix(a.Body, "answer to "+last+" ") {
-		r.wrong = append(r.wrong, fmt.Sprintf("request %s was answered with %q", last, a.Body))
+	if a.Status == http.StatusOK && !a.IsOwn() {
+		r.wrong = append(r.wrong, fmt.Sprintf("request %s was answered with %q", a.IDs[len(a.IDs)-1], a.Body))
 	}
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -4,12 +4,8 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
-	"os"
-	"path/filepath"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -17,6 +13,7 @@
 
 	"github.com/fulmarhitch/fulmarhitch/link"
 	"github.com/fulmarhitch/fulmarhitch/platform/standin"
+	"github.com/fulmarhitch/fulmarhitch/standin/placement"
 	"github.com/fulmarhitch/fulmarhitch/standin/program"
 )
 
@@ -41,8 +38,6 @@
 	inForce = 2 * time.Second
 	// calmCalls is the number of calls to each gateway that must succeed after the recovery.
 	calmCalls = 20
-	// firstPort is the lowest port of a gateway on its own loopback address.
-	firstPort = 7001
 )
 
 // Soak is one run.
@@ -64,14 +59,13 @@
 
 // vm is one gateway with its own link to the store.
 type vm struct {
+	placement.Placement
 	// busy is held while a fault of the process lasts.
-	busy     sync.Mutex
-	name     string
-	settings string
-	address  string
-	store    *link.Link
-	process  *program.Program
-	starts   int
+	busy    sync.Mutex
+	name    string
+	store   *link.Link
+	process *program.Program
+	starts  int
 }
 
 // upstream is a stand-in behind a link of its own.
@@ -115,13 +109,10 @@
 func (s *Soak) Served() (attempts, served int) { return s.record.served() }
 
 func (s *Soak) start() error {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return errors.Wrap(err, "soak: store")
+	var err error
+	if s.address, err = s.store.Listen(); err != nil {
+		return err
 	}
-	server := &http.Server{Handler: s.store.Handler(), ReadHeaderTimeout: stopTimeout}
-	go func() { _ = server.Serve(l) }()
-	s.address = l.Addr().String()
 	s.store.Put(standin.ConfigurationKey, standin.Configuration(1))
 	for _, service := range []string{"read", "write"} {
 		for i := range upstreamsPerKind {
@@ -132,7 +123,7 @@
 	}
 	var directories []string
 	for i := range gateways {
-		v, directory, err := s.newVM(fmt.Sprintf("vm-%d", i))
+		v, err := s.newVM(fmt.Sprintf("vm-%d", i))
 		if err == nil {
 			err = s.startVM(v)
 		}
@@ -140,7 +131,7 @@
 			return err
 		}
 		s.vms = append(s.vms, v)
-		directories = append(directories, directory)
+		directories = append(directories, v.DirectoryAddress)
 	}
 	s.caller = standin.NewCaller(directories)
 	return nil
@@ -162,40 +153,19 @@
 }
 
 // newVM writes the settings of a gateway.
-func (s *Soak) newVM(name string) (v *vm, directory string, err error) {
-	v = &vm{name: name, settings: filepath.Join(s.logs, name+".toml")}
-	if v.store, err = link.New(s.address); err != nil {
-		return nil, "", err
-	}
-	text := fmt.Sprintf("name = %q\nfailure-domain = \"zone-a\"\nstore-address = %q\nstop-timeout = %q\nretry-burst = 40\nquestions-per-second = 500\n",
-		name, v.store.Address(), stopTimeout)
-	ip := ownAddress()
-	for i, setting := range []string{"address", "ready-address", "directory-address", "peer-address", "metrics-address"} {
-		address := fmt.Sprintf("%s:%d", ip, firstPort+i)
-		text += fmt.Sprintf("%s = %q\n", setting, address)
-		switch setting {
-		case "directory-address":
-			directory = address
-		case "address":
-			v.address = address
-		}
+func (s *Soak) newVM(name string) (*vm, error) {
+	k, err := link.New(s.address)
+	if err != nil {
+		return nil, err
 	}
-	return v, directory, errors.Wrap(os.WriteFile(v.settings, []byte(text), 0o600), "soak: settings")
-}
-
-var lastAddress atomic.Uint32
-
-// ownAddress returns a loopback IP address that no other process uses, so that no connection takes a port of a gateway that
-// is down.
-func ownAddress() string {
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 20+pid>>8%80, pid%256, 1+lastAddress.Add(1)%250)
+	at, err := placement.New(s.logs, name, k.Address(), fmt.Sprintf("stop-timeout = %q\n", stopTimeout))
+	return &vm{Placement: at, name: name, store: k}, err
 }
 
 // startVM starts the VM's process.
 func (s *Soak) startVM(v *vm) error {
 	v.starts++
-	p, err := program.Start(s.bin, s.logs, fmt.Sprintf("%s-%d", v.name, v.starts), "fulmarhitch", "gateway", "--settings", v.settings)
+	p, err := program.Start(s.bin, s.logs, fmt.Sprintf("%s-%d", v.name, v.starts), "fulmarhitch", "gateway", "--settings", v.File)
 	if err == nil {
 		v.process = p
 	}
@@ -256,7 +226,7 @@
 	for _, v := range s.vms {
 		failed := 0
 		for range calmCalls {
-			if s.caller.CallAt(context.Background(), v.address, http.MethodPost, "/write/x", "body").Status != http.StatusOK {
+			if s.caller.CallAt(context.Background(), v.Address, http.MethodPost, "/write/x", "body").Status != http.StatusOK {
 				failed++
 			}
 		}
@@ -267,7 +237,7 @@
 	s.configure("/calm/")
 	time.Sleep(inForce)
 	for _, v := range s.vms {
-		if a := s.caller.CallAt(context.Background(), v.address, http.MethodGet, "/calm/x", ""); a.Status != http.StatusOK {
+		if a := s.caller.CallAt(context.Background(), v.Address, http.MethodGet, "/calm/x", ""); a.Status != http.StatusOK {
 			broken = append(broken, fmt.Sprintf("%s answers %d to a route that was added %s ago", v.name, a.Status, inForce))
 		}
 	}
--- a/standin/program/program.go
+++ b/standin/program/program.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -105,9 +107,14 @@
 	}
 }
 
-// FreeAddress returns a loopback address with a port that is free now. Another process may take it before it is used.
+// addresses counts the loopback IP addresses that were given out.
+var addresses atomic.Uint32
+
+// FreeAddress returns a free port of a loopback IP address that nothing else uses, so that no outgoing connection takes the
+// port before a program listens or while it is restarted.
 func FreeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 100+pid>>8%100, pid%256, 1+addresses.Add(1)%250))
 	if err != nil {
 		return "", errors.Wrap(err, "program: free address")
 	}
