--- a/directory/directory.go
+++ b/directory/directory.go
@@ -1,8 +1,12 @@
 package directory
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/fulmarhitch/fulmarhitch/fleet"
 )
 
@@ -24,22 +28,27 @@
 
 // New returns the answer for a caller in the failure domain.
 //
-// It holds only VMs of the caller's failure domain if there are enough of them: requests then reach upstreams of that
-// failure domain without crossing to another.
-func New(vms []fleet.VM, failureDomain string, lifetime time.Duration) Answer {
-	a := Answer{Lifetime: lifetime}
+// It holds only VMs that serve callers, and only those of the caller's failure domain if there are enough of them: requests
+// then reach upstreams of that failure domain without crossing to another. If there are too many VMs, callers get
+// different ones, but each caller mostly the same ones while the fleet changes, so that it can keep its connections.
+func New(vms []fleet.VM, failureDomain, caller string, lifetime time.Duration) Answer {
+	var local, remote []string
 	for _, vm := range vms {
-		if vm.FailureDomain == failureDomain {
-			a.Addresses = append(a.Addresses, vm.Address)
+		switch {
+		case !vm.Serving:
+		case vm.FailureDomain == failureDomain:
+			local = append(local, vm.Address)
+		default:
+			remote = append(remote, vm.Address)
 		}
 	}
-	if len(a.Addresses) < minLocal {
-		for _, vm := range vms {
-			if vm.FailureDomain != failureDomain {
-				a.Addresses = append(a.Addresses, vm.Address)
-			}
-		}
+	if len(local) < minLocal {
+		local = append(local, remote...)
+	}
+	if len(local) > MaxAddresses {
+		weight := func(address string) uint64 { return xxhash.Sum64String(caller + "\x00" + address) }
+		slices.SortFunc(local, func(a, b string) int { return cmp.Compare(weight(a), weight(b)) })
+		local = local[:MaxAddresses]
 	}
-	a.Addresses = a.Addresses[:min(len(a.Addresses), MaxAddresses)]
-	return a
+	return Answer{Addresses: local, Lifetime: lifetime}
 }
--- a/fleet/doc.go
+++ b/fleet/doc.go
@@ -1,2 +1,3 @@
-// Package fleet holds the VMs that are registered in the store.
+// Package fleet holds the VMs of the system: those that are registered in the store, and those that the VMs list among
+// themselves.
 package fleet
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -1,21 +1,14 @@
 package fleet
 
 import (
-	"cmp"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/fulmarhitch/fulmarhitch/grace"
 )
 
-// vmsPerWatcher is the largest number of VMs for each VM that watches the store. Each follower calls its watcher once a
-// second, which together takes a few percent of a small core.
-const vmsPerWatcher = 120
-
 // VM is one process of the system that serves callers.
 type VM struct {
 	// Name identifies the VM.
@@ -28,23 +21,29 @@
 	FailureDomain string
 	// LinkRate is the rate of its network link in Mbit/s, or 0 if it isn't known.
 	LinkRate float64
+	// Serving reports whether the VM serves callers.
+	Serving bool
 }
 
-// Fleet is the set of registered VMs. It is safe for concurrent use.
+// Fleet is the set of known VMs. It is safe for concurrent use.
 type Fleet struct {
 	self VM
 
-	mu   sync.RWMutex
-	vms  *grace.Set[VM]
-	list []VM
-	// order holds the VMs of list and this VM by link rate, the fastest first, and then by the hashes of the incarnations.
-	order   []VM
-	leaving bool
+	mu sync.RWMutex
+	// registered holds the VMs that are registered in the store, and present those that are listed by the VMs themselves.
+	registered *grace.Set[VM]
+	present    map[string]VM
+	list       []VM
+	relays     []VM
+	serving    bool
+	leaving    bool
+	// storedSize is the size of the fleet that the store states, or 0 if it isn't known.
+	storedSize int
 }
 
 // New returns a fleet that has only this process's VM.
 func New(self VM) *Fleet {
-	f := &Fleet{self: self, vms: grace.New[VM]()}
+	f := &Fleet{self: self, registered: grace.New[VM]()}
 	f.rebuild()
 	return f
 }
@@ -54,6 +53,16 @@
 	return f.self
 }
 
+// SetServing records whether this VM serves callers.
+func (f *Fleet) SetServing(serving bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.serving != serving {
+		f.serving = serving
+		f.rebuild()
+	}
+}
+
 // Leave takes this VM out of the list permanently.
 func (f *Fleet) Leave() {
 	f.mu.Lock()
@@ -62,11 +71,48 @@
 	f.rebuild()
 }
 
+// SetPresent replaces the VMs that are listed by the VMs themselves.
+func (f *Fleet) SetPresent(list []VM) {
+	present := make(map[string]VM, len(list))
+	for _, vm := range list {
+		present[vm.Name] = vm
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.present = present
+	f.rebuild()
+}
+
+// SetStoredSize records the size of the fleet that the store states.
+func (f *Fleet) SetStoredSize(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.storedSize = n
+}
+
+// StoredSize returns the size of the fleet that the store states, or 0 if it isn't known.
+func (f *Fleet) StoredSize() int {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.storedSize
+}
+
+// Size returns the number of VMs. Until the VMs have listed themselves, it is the size that the store states if that is
+// larger.
+func (f *Fleet) Size() int {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	if len(f.present) == 0 {
+		return max(len(f.list), f.storedSize)
+	}
+	return len(f.list)
+}
+
 // IsListed reports whether the store lists the present incarnation of this VM.
 func (f *Fleet) IsListed() bool {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
-	vm, _, listed := f.vms.Get(f.self.Name)
+	vm, _, listed := f.registered.Get(f.self.Name)
 	return listed && vm.Incarnation == f.self.Incarnation
 }
 
@@ -74,18 +120,18 @@
 func (f *Fleet) BeginGrace(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.vms.BeginGrace(now)
+	f.registered.BeginGrace(now)
 }
 
 // Put adds or changes a VM and reports whether that changes the list.
 func (f *Fleet) Put(vm VM) (changed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	old, _, listed := f.vms.Get(vm.Name)
+	old, _, listed := f.registered.Get(vm.Name)
 	if listed && old == vm {
 		return false
 	}
-	f.vms.Put(vm.Name, vm)
+	f.registered.Put(vm.Name, vm)
 	f.rebuild()
 	return true
 }
@@ -94,7 +140,7 @@
 func (f *Fleet) Remove(name string, now time.Time) (known bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	known = f.vms.Remove(name, false, now)
+	known = f.registered.Remove(name, false, now)
 	f.rebuild()
 	return known
 }
@@ -106,9 +152,9 @@
 	listed := make(map[string]bool, len(list))
 	for _, vm := range list {
 		listed[vm.Name] = true
-		f.vms.Put(vm.Name, vm)
+		f.registered.Put(vm.Name, vm)
 	}
-	f.vms.Retain(listed, func(VM) bool { return false }, now)
+	f.registered.Retain(listed, func(VM) bool { return false }, now)
 	f.rebuild()
 }
 
@@ -116,7 +162,7 @@
 func (f *Fleet) Expire(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.vms.Expire(now) > 0 {
+	if f.registered.Expire(now) > 0 {
 		f.rebuild()
 	}
 }
@@ -128,46 +174,44 @@
 	return f.list
 }
 
-// Watchers returns the VMs that this VM follows in place of the store, the preferred one first. It returns none if this VM
-// watches the store for others. VMs with fast links watch, because all others get large changes from them. Among equal
-// rates the hashes of the incarnations decide, so that another VM watches when a process ends. The next VM in order takes
-// over from a watcher that fails.
-func (f *Fleet) Watchers() []VM {
+// Relays returns the VMs that are registered in the store in no particular order. The caller must not change the slice.
+func (f *Fleet) Relays() []VM {
 	f.mu.RLock()
-	list := f.order
-	f.mu.RUnlock()
-	watchers := (len(list) + vmsPerWatcher - 1) / vmsPerWatcher
-	rank := slices.IndexFunc(list, func(vm VM) bool { return vm.Name == f.self.Name })
-	if rank < watchers {
-		return nil
-	}
-	first := rank % watchers
-	second := (first + 1) % max(watchers, 2)
-	if second == rank {
-		return list[first : first+1]
-	}
-	return []VM{list[first], list[second]}
+	defer f.mu.RUnlock()
+	return f.relays
 }
 
-// rebuild sets list and order; the caller holds mu, except in New.
+// IsRelay reports whether the store lists this VM or an earlier incarnation of it.
+func (f *Fleet) IsRelay() bool {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	_, found, _ := f.registered.Get(f.self.Name)
+	return found
+}
+
+// rebuild sets list and relays; the caller holds mu, except in New.
 func (f *Fleet) rebuild() {
-	var list []VM
-	for name, vm := range f.vms.All {
-		if name != f.self.Name {
-			list = append(list, vm)
-		}
+	vms := make(map[string]VM, len(f.present)+1)
+	var relays []VM
+	for name, vm := range f.registered.All {
+		// A VM registers itself when it serves callers or is about to.
+		vm.Serving = true
+		vms[name] = vm
+		relays = append(relays, vm)
 	}
-	// A VM that leaves keeps its place in the order: it follows the same VMs, or watches the store until its process ends.
-	f.order = append(slices.Clone(list), f.self)
+	for name, vm := range f.present {
+		vms[name] = vm
+	}
+	delete(vms, f.self.Name)
 	if !f.leaving {
-		list = append(list, f.self)
+		self := f.self
+		self.Serving = f.serving
+		vms[self.Name] = self
+	}
+	list := make([]VM, 0, len(vms))
+	for _, vm := range vms {
+		list = append(list, vm)
 	}
 	slices.SortFunc(list, func(a, b VM) int { return strings.Compare(a.Name, b.Name) })
-	f.list = list
-	slices.SortFunc(f.order, func(a, b VM) int {
-		return cmp.Or(
-			cmp.Compare(b.LinkRate, a.LinkRate),
-			cmp.Compare(xxhash.Sum64String(a.Incarnation), xxhash.Sum64String(b.Incarnation)),
-		)
-	})
+	f.list, f.relays = list, relays
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"io"
+	mathrand "math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -25,6 +26,7 @@
 	"github.com/fulmarhitch/fulmarhitch/ingress"
 	"github.com/fulmarhitch/fulmarhitch/kernel"
 	"github.com/fulmarhitch/fulmarhitch/mirror"
+	"github.com/fulmarhitch/fulmarhitch/presence"
 	"github.com/fulmarhitch/fulmarhitch/quarantine"
 	"github.com/fulmarhitch/fulmarhitch/registration"
 	"github.com/fulmarhitch/fulmarhitch/relay"
@@ -32,6 +34,7 @@
 	"github.com/fulmarhitch/fulmarhitch/sampler"
 	"github.com/fulmarhitch/fulmarhitch/split"
 	"github.com/fulmarhitch/fulmarhitch/telemetry"
+	"github.com/fulmarhitch/fulmarhitch/topology"
 )
 
 // Store holds the routing rules, the upstreams, the registrations and the crash reports.
@@ -39,6 +42,10 @@
 	mirror.Source
 	registration.Store
 	crash.Store
+	// Discover returns the entries that VMs wrote; they may be seconds old.
+	Discover(ctx context.Context) ([]mirror.Entry, error)
+	// WriteSize stores the size of the fleet.
+	WriteSize(ctx context.Context, vms int) error
 }
 
 // Config holds the dependencies of a gateway.
@@ -50,7 +57,7 @@
 	CallerDialect   ingress.Dialect
 	UpstreamDialect exchange.Dialect
 	// Directory returns the handler for callers that look up addresses, and Readiness that for readiness checks of the VM.
-	Directory func(find func(failureDomain string) (directory.Answer, bool)) http.Handler
+	Directory func(find func(failureDomain, caller string) (directory.Answer, bool)) http.Handler
 	Readiness func(isReady func() bool) http.Handler
 	// Reload reads the current settings.
 	Reload func() (*Settings, error)
@@ -78,8 +85,13 @@
 	registration *registration.Registration
 	relay        *relay.Log
 	crashGuard   *crash.Guard
-	peerClient   *http.Client
+	vms          *presence.Table
+	peerClient   *relay.Client
 	leaving      atomic.Bool
+	start        time.Time
+	// electionDelay is the time after the start from which on this VM may read all entries from the store and become a
+	// relay.
+	electionDelay time.Duration
 
 	directoryAddress, readyAddress string
 }
@@ -95,7 +107,7 @@
 	g := &Gateway{
 		config: c, kernel: kernel.New(), logWriter: asynclog.New(c.Output, s.LogLevel),
 		roster: roster.New(), conditions: condition.New(), splitter: split.New(), retries: forwarder.NewRetries(s.RetryRatio),
-		relay: relay.NewLog(), peerClient: relay.NewClient(),
+		relay: relay.NewLog(), start: time.Now(), electionDelay: topology.ElectionDelay(s.LinkRate, mathrand.Float64()),
 	}
 	g.settings.Store(s)
 	g.log = g.logWriter.Entry(logrus.Fields{"vm": s.Name, "failure-domain": s.FailureDomain})
@@ -113,6 +125,8 @@
 		self.PeerAddress = l.peers.Addr().String()
 	}
 	g.fleet = fleet.New(self)
+	g.vms = presence.New(self, g.updateList)
+	g.peerClient = relay.NewClient(g.vms)
 	g.directoryAddress, g.readyAddress = l.directory.Addr().String(), l.ready.Addr().String()
 	g.registerServices(l)
 	return g, nil
@@ -149,8 +163,8 @@
 	g.sampler = sampler.New(g.exchanger, g.conditions)
 	g.crashGuard = crash.New(g.config.Store, g.log)
 	g.mirror = mirror.New(mirror.Config{
-		Store: g.config.Store, Decode: g.config.Decode, Peers: g.peersToFollow, Relay: g.relay, Roster: g.roster, Fleet: g.fleet,
-		OnChange: g.divideLimits, Log: g.log, OnDeath: func(fingerprint, death uint64) {
+		Store: g.config.Store, Decode: g.config.Decode, Sources: g.sources, Discover: g.discover,
+		MayReadStore: g.mayReadStore, Relay: g.relay, Roster: g.roster, Fleet: g.fleet, OnChange: g.applyChange, Log: g.log, OnDeath: func(fingerprint, death uint64) {
 			g.crashGuard.Learn(quarantine.Entry{Fingerprint: fingerprint, Death: death, At: time.Now()})
 		},
 	})
@@ -172,8 +186,9 @@
 		g.kernel.Register("metrics", newEndpoint(l.metrics, metrics.Handler()))
 	}
 	if l.peers != nil {
-		g.kernel.Register("relay", newEndpoint(l.peers, relay.Handler(g.relay)))
+		g.kernel.Register("relay", newEndpoint(l.peers, relay.Handler(g.relay, g.vms)))
 	}
+	g.kernel.Register("fleet-size", kernel.NewWorker(g.runSize))
 	g.kernel.Register("ingress", g.ingress)
 	g.kernel.Register("directory", newEndpoint(l.directory, g.config.Directory(g.findAddresses)))
 	g.kernel.Register("readiness", newEndpoint(l.ready, g.config.Readiness(g.isReady)))
@@ -198,34 +213,17 @@
 	}
 }
 
-// shouldRegister reports whether the VM registers itself. It does so before it knows any upstream: all VMs of a starting
-// fleet then learn of each other and of the upstreams at once, and only one of them continues to watch the store.
-func (g *Gateway) shouldRegister() bool {
-	return !g.leaving.Load() && g.mirror.Rules() != nil
-}
-
 // isReady reports whether the VM serves callers.
 func (g *Gateway) isReady() bool {
 	return !g.leaving.Load() && g.mirror.Rules() != nil && g.roster.Len() > 0
 }
 
-// peersToFollow returns the VMs to follow in place of the store. It returns none if this VM watches the store for others.
-func (g *Gateway) peersToFollow() []mirror.Peer {
-	var peers []mirror.Peer
-	for _, vm := range g.fleet.Watchers() {
-		if vm.PeerAddress != "" {
-			peers = append(peers, mirror.Peer{Name: vm.Name, Source: relay.NewPeer(g.peerClient, vm.PeerAddress)})
-		}
-	}
-	return peers
-}
-
-// findAddresses returns the addresses for a caller in the failure domain, and reports whether there are any.
-func (g *Gateway) findAddresses(failureDomain string) (directory.Answer, bool) {
+// findAddresses returns the addresses for the caller in the failure domain, and reports whether there are any.
+func (g *Gateway) findAddresses(failureDomain, caller string) (directory.Answer, bool) {
 	if g.mirror.Rules() == nil {
 		return directory.Answer{}, false
 	}
-	a := directory.New(g.fleet.List(), failureDomain, g.settings.Load().AddressLifetime)
+	a := directory.New(g.fleet.List(), failureDomain, caller, g.settings.Load().AddressLifetime)
 	return a, len(a.Addresses) > 0
 }
 
@@ -247,7 +245,7 @@
 func (g *Gateway) Close(ctx context.Context) error {
 	err := g.kernel.Stop(ctx)
 	g.exchanger.Close()
-	g.peerClient.CloseIdleConnections()
+	g.peerClient.Close()
 	g.logWriter.Close()
 	return err
 }
@@ -287,6 +285,8 @@
 	start := time.Now()
 	g.leaving.Store(true)
 	g.fleet.Leave()
+	g.vms.Leave()
+	g.mirror.Interrupt()
 	g.ingress.Drain()
 	g.log.Info("graceful shutdown started")
 	go func() {
--- a/gateway/housekeeping.go
+++ b/gateway/housekeeping.go
@@ -40,6 +40,7 @@
 				g.log.WithField("upstreams", n).Info("dropped upstreams that did not register again after the store outage")
 			}
 			g.fleet.Expire(now)
+			g.updateMembership(now)
 			g.conditions.Expire(now)
 			g.sampler.Retain(g.roster.Has)
 			g.divideLimits()
@@ -75,7 +76,7 @@
 // divideLimits divides the fleet-wide limits by the number of VMs, and drops the splitter's state of rules that are no
 // longer in force.
 func (g *Gateway) divideLimits() {
-	s, n := g.settings.Load(), float64(len(g.fleet.List()))
+	s, n := g.settings.Load(), float64(g.fleet.Size())
 	n = max(n, 1)
 	g.retries.SetBurst(fleetLimitFraction * s.RetryBurst / n)
 	g.sampler.SetLimit(fleetLimitFraction * s.QuestionsPerSecond / n)
@@ -91,5 +92,5 @@
 		return 0
 	}
 	total := set.Services[service].Connections
-	return max(int(fleetLimitFraction*float64(total)/float64(max(len(g.fleet.List()), 1))), minConnections)
+	return max(int(fleetLimitFraction*float64(total)/float64(max(g.fleet.Size(), 1))), minConnections)
 }
--- a/mirror/change.go
+++ b/mirror/change.go
@@ -47,6 +47,11 @@
 	Name string
 }
 
+// SizePut is the write of the size of the fleet.
+type SizePut struct {
+	VMs int
+}
+
 // DeathPut is the death of an upstream while it ran a request.
 type DeathPut struct {
 	Fingerprint, Death uint64
@@ -63,6 +68,7 @@
 func (UpstreamRemoved) isChange() {}
 func (VMPut) isChange()           {}
 func (VMRemoved) isChange()       {}
+func (SizePut) isChange()         {}
 func (DeathPut) isChange()        {}
 func (Unreadable) isChange()      {}
 
@@ -86,6 +92,9 @@
 	Revision uint64
 	// Age is the time since the source's last contact with the store; it is 0 for the store itself.
 	Age time.Duration
+	// OutageEnd is the time at which the watcher of the store last regained contact with it, or zero. Entries that expired
+	// in the outage may return within a grace period.
+	OutageEnd time.Time
 }
 
 // Source provides the entries: the store, or a VM that watches it.
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +15,7 @@
 	"github.com/fulmarhitch/fulmarhitch/kernel"
 	"github.com/fulmarhitch/fulmarhitch/roster"
 	"github.com/fulmarhitch/fulmarhitch/ruleset"
+	"github.com/fulmarhitch/fulmarhitch/topology"
 )
 
 const (
@@ -36,8 +39,19 @@
 	batchDelay = 200 * time.Millisecond
 	// batchDelayAtStart replaces batchDelay while the fleet starts and all its VMs and upstreams register themselves.
 	batchDelayAtStart = 800 * time.Millisecond
+	// sameOutage is the difference below which two ends of an outage are those of the same one.
+	sameOutage = 500 * time.Millisecond
 	// startupPeriod is the time for which a process counts as starting.
 	startupPeriod = 3 * time.Second
+	// joinPause is the time between two attempts to get the first entries, and joinTimeout bounds an attempt at a peer,
+	// which may itself wait for its first entries.
+	joinPause   = 50 * time.Millisecond
+	joinTimeout = 2 * time.Second
+	// minDiscoveryPause and maxDiscoveryPause bound the backoff between two searches for relays.
+	minDiscoveryPause = 200 * time.Millisecond
+	maxDiscoveryPause = 1600 * time.Millisecond
+	// discoveryTimeout bounds a search.
+	discoveryTimeout = 500 * time.Millisecond
 	// minPause and maxPause bound the backoff after a failed call.
 	minPause = 100 * time.Millisecond
 	maxPause = 250 * time.Millisecond
@@ -50,9 +64,13 @@
 	// Store is the authoritative source, and Decode decodes its entries.
 	Store  Source
 	Decode func(e Entry, now time.Time) []Change
-	// Peers returns the VMs to follow in place of the store, the preferred one first. It returns none if this VM watches
-	// the store itself.
-	Peers func() []Peer
+	// Sources returns the VMs to follow in place of the store.
+	Sources func() Sources
+	// Discover looks for relays before the first entries are known.
+	Discover func(ctx context.Context) error
+	// MayReadStore reports whether this VM may read the first entries from the store if no peer provides them. All VMs of
+	// a large fleet must not do so at once.
+	MayReadStore func() bool
 	// Relay receives each batch, for the VMs that follow this one.
 	Relay  Relay
 	Roster *roster.Roster
@@ -72,6 +90,14 @@
 	Lost()
 }
 
+// Sources are the VMs to follow in place of the store.
+type Sources struct {
+	// Tier is this VM's distance from the store.
+	Tier topology.Tier
+	// Peers are the VMs, the preferred one first; there are none if this VM watches the store itself.
+	Peers []Peer
+}
+
 // Peer is a VM that may be followed.
 type Peer struct {
 	// Name identifies the VM.
@@ -89,8 +115,16 @@
 	lastContact atomic.Int64
 	start       time.Time
 	storeLost   bool
+	// outageEnd is the end of the last outage of the store that this VM has noticed or heard of.
+	outageEnd time.Time
 	// lastStoreCall is the time of the last call to the store.
 	lastStoreCall time.Time
+	// indirectStoreAge is the constant of that name with jitter.
+	indirectStoreAge time.Duration
+
+	mu sync.Mutex
+	// interrupt cancels the call in progress.
+	interrupt context.CancelFunc
 	// avoidUntil holds the times until which peers that failed are not followed, by name.
 	avoidUntil map[string]time.Time
 }
@@ -98,6 +132,7 @@
 // New returns a mirror without entries.
 func New(c Config) *Mirror {
 	m := &Mirror{config: c, start: time.Now(), avoidUntil: make(map[string]time.Time)}
+	m.indirectStoreAge = indirectStoreAge + rand.N(indirectStoreAge)
 	m.Worker = kernel.NewWorker(m.follow)
 	return m
 }
@@ -112,10 +147,56 @@
 	return time.Since(m.start) - time.Duration(m.lastContact.Load())
 }
 
-// follow reads all entries and then watches, until ctx is done.
+// join gets the first entries from a peer, or from the store, and returns their revision. It returns false once ctx is done.
+func (m *Mirror) join(ctx context.Context) (revision uint64, ok bool) {
+	pause := backoff.New(minDiscoveryPause, maxDiscoveryPause)
+	discoverAt := time.Now()
+	for ctx.Err() == nil {
+		if !time.Now().Before(discoverAt) {
+			m.discover(ctx)
+			discoverAt = time.Now().Add(pause.Next())
+		}
+		for _, p := range m.config.Sources().Peers {
+			if b, err := m.fetch(ctx, step{peer: &p, maxAge: maxAge}, 0, false); err == nil {
+				return b.Revision, true
+			}
+		}
+		if ctx.Err() == nil && m.config.MayReadStore() {
+			m.lastStoreCall = time.Now()
+			b, err := m.fetch(ctx, step{}, 0, false)
+			if err == nil {
+				return b.Revision, true
+			}
+			m.recordFailure(err)
+			backoff.Sleep(ctx, minPause)
+		}
+		backoff.Sleep(ctx, joinPause)
+	}
+	return 0, false
+}
+
+// discover looks for relays.
+func (m *Mirror) discover(ctx context.Context) {
+	callCtx, cancel := context.WithTimeout(ctx, discoveryTimeout)
+	defer cancel()
+	if err := m.config.Discover(callCtx); err != nil && ctx.Err() == nil {
+		m.config.Log.WithError(err).Debug("cannot look for relays in the store")
+	}
+}
+
+// Interrupt ends the wait of the call in progress, so that the next call is made at once.
+func (m *Mirror) Interrupt() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.interrupt != nil {
+		m.interrupt()
+	}
+}
+
+// follow gets all entries and then watches, until ctx is done.
 func (m *Mirror) follow(ctx context.Context) {
 	pause := backoff.New(minPause, maxPause)
-	revision, hasRevision := uint64(0), false
+	revision, hasRevision := m.join(ctx)
 	// storeOnly is true while only the store can provide the missing changes, watchBroken after its last watch has failed.
 	storeOnly, watchBroken := false, false
 	for ctx.Err() == nil {
@@ -132,6 +213,8 @@
 		switch {
 		case ctx.Err() != nil:
 			return
+		case errors.Is(err, context.Canceled):
+			// The call was interrupted.
 		case err == nil:
 			pause.Reset()
 			revision, hasRevision, storeOnly, watchBroken = max(b.Revision, revision), true, false, false
@@ -173,9 +256,12 @@
 	switch {
 	case s.peer != nil:
 		source = s.peer.Source
-		if hasRevision && s.wait > 0 {
+		switch {
+		case !hasRevision:
+			timeout = joinTimeout
+		case s.wait > 0:
 			timeout = s.wait + peerSlack
-		} else if hasRevision {
+		default:
 			timeout = refreshTimeout
 		}
 	case s.wait == 0:
@@ -185,6 +271,9 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	m.mu.Lock()
+	m.interrupt = cancel
+	m.mu.Unlock()
 	began := time.Now()
 	var b Batch
 	var err error
@@ -204,7 +293,11 @@
 	if !hasRevision {
 		lastContact = began.Add(-b.Age)
 	}
-	m.recordSuccess(lastContact)
+	m.recordSuccess(lastContact, s.peer == nil)
+	if b.OutageEnd.After(m.outageEnd.Add(sameOutage)) {
+		m.beginGrace(b.OutageEnd)
+	}
+	b.OutageEnd = m.outageEnd
 	m.config.Relay.Add(b, lastContact)
 	m.applyBatch(b, now)
 	return b, nil
@@ -235,17 +328,25 @@
 }
 
 // recordSuccess records a contact with the store. After an outage, entries whose leases expired meanwhile stay for a grace
-// period, in which they may be registered again.
-func (m *Mirror) recordSuccess(contact time.Time) {
+// period, in which they may be registered again. A peer tells by itself whether there was one.
+func (m *Mirror) recordSuccess(contact time.Time, byStore bool) {
 	if m.storeLost {
 		m.config.Log.WithField("lost-ms", m.Age().Milliseconds()).Info("store answers again")
 		m.storeLost = false
-		m.config.Roster.BeginGrace(contact)
-		m.config.Fleet.BeginGrace(contact)
+		if byStore {
+			m.beginGrace(contact)
+		}
 	}
 	m.lastContact.Store(int64(contact.Sub(m.start)))
 }
 
+// beginGrace begins the grace period after an outage.
+func (m *Mirror) beginGrace(end time.Time) {
+	m.outageEnd = end
+	m.config.Roster.BeginGrace(end)
+	m.config.Fleet.BeginGrace(end)
+}
+
 // replace applies a whole list of entries.
 func (m *Mirror) replace(changes []Change, now time.Time) {
 	var ups []roster.Upstream
@@ -258,6 +359,8 @@
 			vms = append(vms, c.VM)
 		case RulesPut:
 			m.installRules(c.Set)
+		case SizePut:
+			m.config.Fleet.SetStoredSize(c.VMs)
 		case DeathPut:
 			m.config.OnDeath(c.Fingerprint, c.Death)
 		case Unreadable:
@@ -295,6 +398,8 @@
 			if m.config.Fleet.Remove(c.Name, now) {
 				m.config.Log.WithField("peer", c.Name).Info("VM removed")
 			}
+		case SizePut:
+			m.config.Fleet.SetStoredSize(c.VMs)
 		case DeathPut:
 			m.config.OnDeath(c.Fingerprint, c.Death)
 		case Unreadable:
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -15,6 +15,7 @@
 	"github.com/fulmarhitch/fulmarhitch/mirror"
 	"github.com/fulmarhitch/fulmarhitch/roster"
 	"github.com/fulmarhitch/fulmarhitch/ruleset"
+	"github.com/fulmarhitch/fulmarhitch/topology"
 )
 
 var errDown = errors.New("the source is down")
@@ -87,10 +88,18 @@
 
 // newMirror returns a mirror of the store that follows the peers.
 func newMirror(store *source, r mirror.Relay, peers ...mirror.Peer) *mirror.Mirror {
+	tier := topology.Tier(min(len(peers), int(topology.Direct)))
+	return newMirrorAt(tier, store, r, peers...)
+}
+
+// newMirrorAt is like newMirror at the distance from the store.
+func newMirrorAt(tier topology.Tier, store *source, r mirror.Relay, peers ...mirror.Peer) *mirror.Mirror {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	return mirror.New(mirror.Config{
-		Store: store, Decode: decode, Peers: func() []mirror.Peer { return peers }, Relay: r, Roster: roster.New(),
+		Store: store, Decode: decode, Sources: func() mirror.Sources { return mirror.Sources{Tier: tier, Peers: peers} },
+		Discover: func(context.Context) error { return nil }, MayReadStore: func() bool { return tier != topology.Indirect },
+		Relay: r, Roster: roster.New(),
 		Fleet: fleet.New(fleet.VM{}), OnChange: func() {}, Log: logrus.NewEntry(log),
 	})
 }
--- a/mirror/step.go
+++ b/mirror/step.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/fulmarhitch/fulmarhitch/topology"
 )
 
 const (
@@ -15,6 +17,9 @@
 	// standbyMaxAge replaces maxAge for the standby, the VM next in order to watch the store. It is shorter, so that the
 	// standby calls the store before the others have to.
 	standbyMaxAge = 1250 * time.Millisecond
+	// indirectMaxAge replaces maxAge for a VM that follows a relay. It is longer, so that the relay turns to the standby
+	// before its followers turn away.
+	indirectMaxAge = 2 * time.Second
 	// refreshAge is the age of this VM's entries from which on it calls a peer without a wait after another one has failed.
 	refreshAge = peerWait
 	// failedPeerPause is the time for which a peer that failed is not followed. The lease of a dead one has expired by then.
@@ -25,6 +30,9 @@
 	standbyStorePause = 500 * time.Millisecond
 	// followerStorePause is the same for the other VMs that have peers to follow.
 	followerStorePause = 5 * time.Second
+	// indirectStoreAge is the least age of its entries at which a VM that follows a relay calls the store, and also the time
+	// between such calls. There may be thousands of such VMs, and in an outage they would all call it in vain.
+	indirectStoreAge = 4 * time.Second
 )
 
 // step is what to do next: pause, or call a peer or the store.
@@ -41,13 +49,18 @@
 // nextStep returns the next step. When all VMs lose the one that they follow, only the standby should call the store; the
 // others call the standby first.
 func (m *Mirror) nextStep(storeOnly, watchBroken bool) step {
-	peers, now := m.config.Peers(), time.Now()
+	sources, now := m.config.Sources(), time.Now()
+	peers, indirect := sources.Peers, sources.Tier == topology.Indirect
 	if storeOnly || len(peers) == 0 {
 		return m.storeStep(watchBroken)
 	}
 	s, storePause := step{wait: peerWait, maxAge: maxAge}, followerStorePause
-	if len(peers) == 1 {
+	switch sources.Tier {
+	case topology.Standby:
 		s.maxAge, storePause = standbyMaxAge, standbyStorePause
+	case topology.Indirect:
+		s.maxAge = indirectMaxAge
+	case topology.Watcher, topology.Direct:
 	}
 	usable := 0
 	for i, p := range peers {
@@ -60,6 +73,8 @@
 		}
 	}
 	switch {
+	case s.peer == nil && indirect && (m.Age() < m.indirectStoreAge || now.Sub(m.lastStoreCall) < m.indirectStoreAge):
+		return step{pause: refreshPause}
 	case s.peer == nil && m.storeLost && now.Sub(m.lastStoreCall) < storePause:
 		return step{pause: refreshPause}
 	case s.peer == nil:
--- a/relay/log.go
+++ b/relay/log.go
@@ -24,7 +24,9 @@
 	// lastContact is the time of the last contact with the store; fresh is false once that contact is lost.
 	lastContact time.Time
 	fresh       bool
-	changed     chan struct{}
+	// outageEnd is the end of the last outage of the store.
+	outageEnd time.Time
+	changed   chan struct{}
 }
 
 // NewLog returns an empty log without contact with the store.
@@ -56,7 +58,7 @@
 func (l *Log) Add(b mirror.Batch, lastContact time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.lastContact, l.fresh = lastContact, true
+	l.lastContact, l.fresh, l.outageEnd = lastContact, true, b.OutageEnd
 	if b.Whole {
 		l.replace(b)
 	}
@@ -94,22 +96,24 @@
 	l.changed = make(chan struct{})
 }
 
-// Since returns the changes after the revision, waiting for one until ctx is done or the contact with the store is lost.
-// After revision 0, or one after which removals may be unknown, it returns all entries. It also reports whether there is
-// contact with the store.
-func (l *Log) Since(ctx context.Context, after uint64) (b mirror.Batch, fresh bool) {
+// Since returns the changes after the revision, waiting for one until ctx is done, interrupt is closed or the contact with
+// the store is lost. After revision 0, or one after which removals may be unknown, it returns all entries; a log without
+// any waits for them. It also reports whether there is contact with the store.
+func (l *Log) Since(ctx context.Context, after uint64, interrupt <-chan struct{}) (b mirror.Batch, fresh bool) {
 	for {
 		b, fresh, changed := l.changesSince(after)
-		if b.Whole || len(b.Entries) > 0 || !fresh {
+		if b.Revision > 0 && (b.Whole || len(b.Entries) > 0 || !fresh) {
 			return b, fresh
 		}
 		select {
 		case <-changed:
+			continue
+		case <-interrupt:
 		case <-ctx.Done():
-			// The batch has to state the age at the end of the wait.
-			b, fresh, _ = l.changesSince(after)
-			return b, fresh
 		}
+		// The batch has to state the age at the end of the wait.
+		b, fresh, _ = l.changesSince(after)
+		return b, fresh
 	}
 }
 
@@ -118,7 +122,7 @@
 func (l *Log) changesSince(after uint64) (mirror.Batch, bool, <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	b := mirror.Batch{Revision: l.revision, Whole: after == 0 || after < l.compacted, Age: time.Since(l.lastContact)}
+	b := mirror.Batch{Revision: l.revision, Whole: after == 0 || after < l.compacted, Age: time.Since(l.lastContact), OutageEnd: l.outageEnd}
 	for _, e := range l.entries {
 		if b.Whole || e.Revision > after {
 			b.Entries = append(b.Entries, e)
--- a/relay/pack.go
+++ b/relay/pack.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"bytes"
+	"encoding/gob"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -10,51 +12,84 @@
 )
 
 const (
-	// packThreshold is the size in bytes above which a value is sent compressed. Entries of upstreams and VMs are below 1 KB.
-	packThreshold = 4 << 10
-	// maxValue is the largest size of a value in bytes; the store's limit is 1 MB.
-	maxValue = 4 << 20
+	// maxBlock is the largest size of an uncompressed block of entries in bytes. Ten thousand entries take about 5 MB.
+	maxBlock = 64 << 20
+	// maxBlocks is the number of blocks that are kept for further followers.
+	maxBlocks = 8
 )
 
-// packer compresses each large value once, however many followers request it. It is safe for concurrent use.
+// wireEntry is an entry in a block.
+type wireEntry struct {
+	Key      string
+	Value    []byte
+	Revision uint64
+	Deleted  bool
+}
+
+// packer compresses the entries of a batch once, however many followers request it. It is safe for concurrent use.
 type packer struct {
-	mu sync.Mutex
-	// latest holds the latest large value of each key, compressed.
-	latest map[string]packedValue
+	mu     sync.Mutex
+	blocks map[blockKey][]byte
 }
 
-type packedValue struct {
-	revision uint64
-	data     []byte
+// blockKey identifies the changes after a revision.
+type blockKey struct {
+	after, revision uint64
 }
 
-// pack returns the entry's value, compressed if it is large, and reports whether it is compressed.
-func (p *packer) pack(e mirror.Entry) (data []byte, isPacked bool) {
-	if len(e.Value) <= packThreshold {
-		return e.Value, false
+// pack returns the batch's entries as a compressed block, or nil if there are none.
+func (p *packer) pack(after uint64, b mirror.Batch) ([]byte, error) {
+	if len(b.Entries) == 0 {
+		return nil, nil
+	}
+	if b.Whole {
+		after = 0
 	}
+	key := blockKey{after, b.Revision}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	v := p.latest[e.Key]
-	if v.revision != e.Revision {
-		v = packedValue{revision: e.Revision, data: s2.EncodeBetter(nil, e.Value)}
-		if p.latest == nil {
-			p.latest = make(map[string]packedValue)
-		}
-		p.latest[e.Key] = v
-	}
-	return v.data, true
+	if block, known := p.blocks[key]; known {
+		return block, nil
+	}
+	entries := make([]wireEntry, 0, len(b.Entries))
+	for _, e := range b.Entries {
+		entries = append(entries, wireEntry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
+	}
+	var encoded bytes.Buffer
+	if err := gob.NewEncoder(&encoded).Encode(entries); err != nil {
+		return nil, errors.Wrap(err, "relay: encode entries")
+	}
+	block := s2.EncodeBetter(nil, encoded.Bytes())
+	if len(p.blocks) >= maxBlocks || p.blocks == nil {
+		p.blocks = make(map[blockKey][]byte)
+	}
+	p.blocks[key] = block
+	return block, nil
 }
 
-// unpack decompresses data.
-func unpack(data []byte) ([]byte, error) {
-	n, err := s2.DecodedLen(data)
+// unpack returns the entries of a block.
+func unpack(block []byte) ([]mirror.Entry, error) {
+	if len(block) == 0 {
+		return nil, nil
+	}
+	n, err := s2.DecodedLen(block)
+	if err != nil {
+		return nil, errors.Wrap(err, "relay: compressed entries")
+	}
+	if n > maxBlock {
+		return nil, errors.Newf("relay: compressed entries have %d bytes, more than %d", n, maxBlock)
+	}
+	encoded, err := s2.Decode(nil, block)
 	if err != nil {
-		return nil, errors.Wrap(err, "relay: compressed value")
+		return nil, errors.Wrap(err, "relay: compressed entries")
+	}
+	var entries []wireEntry
+	if err := gob.NewDecoder(bytes.NewReader(encoded)).Decode(&entries); err != nil {
+		return nil, errors.Wrap(err, "relay: decode entries")
 	}
-	if n > maxValue {
-		return nil, errors.Newf("relay: compressed value has %d bytes, more than %d", n, maxValue)
+	list := make([]mirror.Entry, 0, len(entries))
+	for _, e := range entries {
+		list = append(list, mirror.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
 	}
-	value, err := s2.Decode(nil, data)
-	return value, errors.Wrap(err, "relay: compressed value")
+	return list, nil
 }
--- a/relay/peer.go
+++ b/relay/peer.go
@@ -5,47 +5,74 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
 
 	"github.com/fulmarhitch/fulmarhitch/mirror"
+	"github.com/fulmarhitch/fulmarhitch/presence"
 )
 
 const (
 	// procedure is the path of the only call between VMs.
-	procedure = "/fulmarhitch.relay.v1.Relay/Follow"
-	// dialTimeout bounds the dial of a VM; within a failure domain it takes less than 1 ms.
+	procedure = "/fulmarhitch.relay.v2.Relay/Follow"
+	// dialTimeout bounds the dial of a VM.
 	dialTimeout = 300 * time.Millisecond
 	// idleTimeout closes connections to VMs that are no longer followed.
 	idleTimeout = 10 * time.Second
 	// maxWait is the longest wait that a follower may request.
 	maxWait = 10 * time.Second
+	// snapshotWait is how long a peer without entries waits for them before it answers.
+	snapshotWait = 400 * time.Millisecond
 )
 
 // wireFollow is a request for the changes after a revision.
 type wireFollow struct {
 	After  uint64 `json:"after"`
 	WaitMS int64  `json:"wait-ms"`
+	// Reporter, Digest and VMs are the follower's report; the VMs are omitted if the receiver should have them.
+	Reporter string   `json:"reporter"`
+	Digest   uint64   `json:"digest"`
+	VMs      []wireVM `json:"vms,omitempty"`
+	// ListOrigin and ListVersion are the origin and version of the list of VMs that the follower has.
+	ListOrigin  string `json:"list-origin"`
+	ListVersion uint64 `json:"list-version"`
 }
 
 // wireBatch is the answer to a wireFollow.
 type wireBatch struct {
-	Entries  []wireEntry `json:"entries"`
-	Whole    bool        `json:"whole"`
-	Revision uint64      `json:"revision"`
-	AgeMS    int64       `json:"age-ms"`
-	Fresh    bool        `json:"fresh"`
+	// Entries is a block of entries.
+	Entries  []byte `json:"entries,omitempty"`
+	Whole    bool   `json:"whole"`
+	Revision uint64 `json:"revision"`
+	AgeMS    int64  `json:"age-ms"`
+	Fresh    bool   `json:"fresh"`
+	// OutageMS is the time since the end of the last outage of the store, or 0 if there was none.
+	OutageMS int64 `json:"outage-ms,omitempty"`
+	// Unknown reports that the VMs of the follower's report are needed.
+	Unknown bool     `json:"unknown,omitempty"`
+	List    wireList `json:"list"`
 }
 
-type wireEntry struct {
-	Key      string `json:"key"`
-	Value    []byte `json:"value,omitempty"`
-	Revision uint64 `json:"revision"`
-	Deleted  bool   `json:"deleted,omitempty"`
-	// Packed reports whether the value is compressed.
-	Packed bool `json:"packed,omitempty"`
+// wireList is the list of VMs, or the changes to it.
+type wireList struct {
+	Origin  string   `json:"origin"`
+	Version uint64   `json:"version"`
+	Whole   bool     `json:"whole,omitempty"`
+	VMs     []wireVM `json:"vms,omitempty"`
+	Removed []string `json:"removed,omitempty"`
+}
+
+type wireVM struct {
+	Name          string  `json:"name"`
+	Incarnation   string  `json:"incarnation"`
+	Address       string  `json:"address"`
+	PeerAddress   string  `json:"peer-address,omitempty"`
+	FailureDomain string  `json:"failure-domain"`
+	LinkRate      float64 `json:"link-rate,omitempty"`
+	Serving       bool    `json:"serving,omitempty"`
 }
 
 // codec is JSON for messages without a protobuf schema.
@@ -60,39 +87,76 @@
 // Unmarshal decodes a message.
 func (codec) Unmarshal(data []byte, m any) error { return json.Unmarshal(data, m) }
 
-// Handler serves the log to followers.
-func Handler(l *Log) http.Handler {
+// Handler serves the log and the list of VMs to followers, and records their reports.
+func Handler(l *Log, vms *presence.Table) http.Handler {
 	p := &packer{}
 	return connect.NewUnaryHandler(procedure, func(ctx context.Context, req *connect.Request[wireFollow]) (*connect.Response[wireBatch], error) {
-		wait := min(time.Duration(req.Msg.WaitMS)*time.Millisecond, maxWait)
-		ctx, cancel := context.WithTimeout(ctx, wait)
+		ctx, cancel := context.WithTimeout(ctx, min(time.Duration(req.Msg.WaitMS)*time.Millisecond, maxWait))
 		defer cancel()
-		b, fresh := l.Since(ctx, req.Msg.After)
-		return connect.NewResponse(encode(b, fresh, p)), nil
-	}, connect.WithCodec(codec{}))
+		known := vms.Record(decodeReport(req.Msg), time.Now())
+		interrupt := vms.Changed()
+		if origin, version := vms.Position(); !known || origin != req.Msg.ListOrigin || version != req.Msg.ListVersion {
+			// The follower should repeat its report or get the list without a wait, unless it also needs the entries.
+			if req.Msg.After > 0 {
+				cancel()
+			}
+		}
+		b, fresh := l.Since(ctx, req.Msg.After, interrupt)
+		if b.Revision == 0 {
+			return nil, connect.NewError(connect.CodeUnavailable, errNoEntries)
+		}
+		block, err := p.pack(req.Msg.After, b)
+		if err != nil {
+			return nil, err
+		}
+		list := vms.Changes(req.Msg.ListOrigin, req.Msg.ListVersion)
+		return connect.NewResponse(encode(b, block, fresh, !known, list)), nil
+	}, connect.WithCodec(codec{}), connect.WithCompression("gzip", nil, nil))
 }
 
-// Peer is a VM that is followed in place of the store.
-type Peer struct {
-	client *connect.Client[wireFollow, wireBatch]
+// errNoEntries is the error for a follower of a VM that has no entries yet.
+var errNoEntries = errors.New("relay: this VM has no entries yet")
+
+// Client calls other VMs and reports this VM to them. It is safe for concurrent use.
+type Client struct {
+	http *http.Client
+	vms  *presence.Table
+
+	mu sync.Mutex
+	// reported holds the digests of the reports that peers have, by address.
+	reported map[string]uint64
 }
 
-// NewClient returns an HTTP client for the calls between VMs.
-func NewClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
+// NewClient returns a client that sends the reports of the table and applies the lists of VMs to it.
+func NewClient(vms *presence.Table) *Client {
+	return &Client{vms: vms, reported: make(map[string]uint64), http: &http.Client{Transport: &http.Transport{
 		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout,
 		DisableCompression: true,
-	}}
+	}}}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() {
+	c.http.CloseIdleConnections()
+}
+
+// Peer is a VM that is followed in place of the store.
+type Peer struct {
+	client  *Client
+	address string
+	call    *connect.Client[wireFollow, wireBatch]
 }
 
 // NewPeer returns the peer at the IP address and port.
-func NewPeer(client *http.Client, address string) *Peer {
-	return &Peer{client: connect.NewClient[wireFollow, wireBatch](client, "http://"+address+procedure, connect.WithCodec(codec{}))}
+func NewPeer(c *Client, address string) *Peer {
+	return &Peer{client: c, address: address, call: connect.NewClient[wireFollow, wireBatch](
+		c.http, "http://"+address+procedure, connect.WithCodec(codec{}), connect.WithAcceptCompression("gzip", nil, nil),
+	)}
 }
 
-// Snapshot returns all entries.
+// Snapshot returns all entries. A peer without entries is given some time to get them.
 func (p *Peer) Snapshot(ctx context.Context) (mirror.Batch, error) {
-	return p.follow(ctx, 0, 0)
+	return p.follow(ctx, 0, snapshotWait)
 }
 
 // Watch returns the changes after the revision, or all entries if changes may be missing.
@@ -101,36 +165,38 @@
 }
 
 func (p *Peer) follow(ctx context.Context, after uint64, wait time.Duration) (mirror.Batch, error) {
-	resp, err := p.client.CallUnary(ctx, connect.NewRequest(&wireFollow{After: after, WaitMS: wait.Milliseconds()}))
+	c := p.client
+	report := c.vms.Report()
+	req := &wireFollow{After: after, WaitMS: wait.Milliseconds(), Reporter: report.Reporter, Digest: report.Digest}
+	req.ListOrigin, req.ListVersion = c.vms.Position()
+	if !c.hasReported(p.address, report.Digest) {
+		req.VMs = encodeVMs(report.VMs)
+	}
+	resp, err := p.call.CallUnary(ctx, connect.NewRequest(req))
 	if err != nil {
 		return mirror.Batch{}, errors.Wrap(err, "relay")
 	}
+	c.setReported(p.address, report.Digest, !resp.Msg.Unknown)
+	c.vms.Apply(decodeList(resp.Msg.List))
 	if !resp.Msg.Fresh {
 		return mirror.Batch{}, errors.Wrapf(mirror.ErrStale, "relay: last contact %d ms ago", resp.Msg.AgeMS)
 	}
-	return decode(resp.Msg)
+	return decode(resp.Msg, time.Now())
 }
 
-func encode(b mirror.Batch, fresh bool, p *packer) *wireBatch {
-	w := &wireBatch{Whole: b.Whole, Revision: b.Revision, AgeMS: b.Age.Milliseconds(), Fresh: fresh}
-	for _, e := range b.Entries {
-		value, packed := p.pack(e)
-		w.Entries = append(w.Entries, wireEntry{Key: e.Key, Value: value, Revision: e.Revision, Deleted: e.Deleted, Packed: packed})
-	}
-	return w
+func (c *Client) hasReported(address string, digest uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known, exists := c.reported[address]
+	return exists && known == digest
 }
 
-func decode(w *wireBatch) (mirror.Batch, error) {
-	b := mirror.Batch{Whole: w.Whole, Revision: w.Revision, Age: time.Duration(w.AgeMS) * time.Millisecond}
-	for _, e := range w.Entries {
-		value := e.Value
-		if e.Packed {
-			var err error
-			if value, err = unpack(e.Value); err != nil {
-				return mirror.Batch{}, err
-			}
-		}
-		b.Entries = append(b.Entries, mirror.Entry{Key: e.Key, Value: value, Revision: e.Revision, Deleted: e.Deleted})
+func (c *Client) setReported(address string, digest uint64, known bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if known {
+		c.reported[address] = digest
+	} else {
+		delete(c.reported, address)
 	}
-	return b, nil
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -13,7 +13,9 @@
 	"github.com/cockroachdb/errors"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/fulmarhitch/fulmarhitch/fleet"
 	"github.com/fulmarhitch/fulmarhitch/mirror"
+	"github.com/fulmarhitch/fulmarhitch/presence"
 	"github.com/fulmarhitch/fulmarhitch/relay"
 )
 
@@ -38,15 +40,20 @@
 	return c.Conn.Write(b)
 }
 
+// newTable returns a table that lists only the VM.
+func newTable(name string) *presence.Table {
+	return presence.New(fleet.VM{Name: name}, func([]fleet.VM) {})
+}
+
 // serve serves the log and returns a peer that reads it and the meter of its answers.
 func serve(t *testing.T, l *relay.Log) (*relay.Peer, *meter) {
-	s := httptest.NewUnstartedServer(relay.Handler(l))
+	s := httptest.NewUnstartedServer(relay.Handler(l, newTable("server")))
 	m := &meter{Listener: s.Listener}
 	s.Listener = m
 	s.Start()
 	t.Cleanup(s.Close)
-	client := relay.NewClient()
-	t.Cleanup(client.CloseIdleConnections)
+	client := relay.NewClient(newTable("follower"))
+	t.Cleanup(client.Close)
 	return relay.NewPeer(client, strings.TrimPrefix(s.URL, "http://")), m
 }
 
--- /dev/null
+++ b/topology/place.go
@@ -0,0 +1,137 @@
+package topology
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fulmarhitch/fulmarhitch/fleet"
+)
+
+const (
+	// maxDirectFollowers is the largest fleet in which all VMs follow the watcher. Each calls it once a second.
+	maxDirectFollowers = 120
+	// vmsPerRelay is the number of VMs of a failure domain for each of its relays.
+	vmsPerRelay = 40
+	// minRelays is the smallest number of relays of a failure domain, so that one may fail.
+	minRelays = 2
+	// smallFleet is the largest fleet in which every VM is a relay. Its VMs may all call the store when they start.
+	smallFleet = 30
+	// alternatives is the number of relays that a VM of a large fleet tries before the watcher and its standby.
+	alternatives = 2
+)
+
+// Tier is the distance of a VM from the store.
+type Tier int
+
+const (
+	// Watcher is the tier of the VM that watches the store.
+	Watcher Tier = iota
+	// Standby is the tier of the VM that takes over from the watcher.
+	Standby
+	// Direct is the tier of the other VMs that follow the watcher.
+	Direct
+	// Indirect is the tier of the VMs that follow a relay.
+	Indirect
+)
+
+// Place is the position of a VM in the hierarchy of followers.
+type Place struct {
+	// Tier is the distance from the store.
+	Tier Tier
+	// Sources are the VMs to follow, the preferred one first; a watcher has none.
+	Sources []fleet.VM
+}
+
+// New returns the place of the VM self in a fleet with the relays and the number of VMs, which is 0 if it isn't known. The order of the relays depends on
+// their link rates and names only, so that all VMs agree on the watcher also right after all of them have restarted.
+func New(self fleet.VM, relays []fleet.VM, vms int) Place {
+	order := slices.Clone(relays)
+	slices.SortFunc(order, compare)
+	rank := slices.IndexFunc(order, func(vm fleet.VM) bool { return vm.Name == self.Name })
+	switch {
+	case rank == 0 || len(order) == 0:
+		return Place{Tier: Watcher}
+	case rank == 1:
+		return Place{Tier: Standby, Sources: order[:1]}
+	case rank > 1 || vms > 0 && vms <= maxDirectFollowers:
+		return Place{Tier: Direct, Sources: order[:min(len(order), 2)]}
+	}
+	// The watcher already has the relays as followers.
+	var near []fleet.VM
+	for _, vm := range order[1:] {
+		if vm.FailureDomain == self.FailureDomain {
+			near = append(near, vm)
+		}
+	}
+	if len(near) == 0 {
+		near = order
+	}
+	// The hash spreads the followers evenly over the relays.
+	first := int(xxhash.Sum64String(self.Name) % uint64(len(near)))
+	var sources []fleet.VM
+	for i := range min(alternatives, len(near)) {
+		sources = append(sources, near[(first+i)%len(near)])
+	}
+	for _, vm := range order[:min(len(order), 2)] {
+		if !slices.ContainsFunc(sources, func(s fleet.VM) bool { return s.Name == vm.Name }) {
+			sources = append(sources, vm)
+		}
+	}
+	return Place{Tier: Indirect, Sources: sources}
+}
+
+// IsSmall reports whether a fleet of the size has only relays; the size is 0 if it isn't known.
+func IsSmall(vms int) bool {
+	return vms > 0 && vms <= smallFleet
+}
+
+// ShouldRelay reports whether the VM self should be a relay, by its rank among all VMs of its failure domain. A small fleet
+// has to be known as such: a VM that has just started may know few others of a large one.
+func ShouldRelay(self fleet.VM, vms []fleet.VM, isSmall bool) bool {
+	if isSmall {
+		return true
+	}
+	size, rank := 1, 0
+	for _, vm := range vms {
+		if vm.FailureDomain != self.FailureDomain || vm.Name == self.Name {
+			continue
+		}
+		size++
+		if compare(vm, self) < 0 {
+			rank++
+		}
+	}
+	return rank < max(minRelays, (size+vmsPerRelay-1)/vmsPerRelay)
+}
+
+const (
+	// fastLink is the link rate in Mbit/s from which on a VM is preferred as a relay.
+	fastLink = 100
+	// fastWindow and slowWindow bound the time in which a VM without a relay to follow becomes one itself; slowOffset is
+	// the head start of VMs with fast links.
+	fastWindow = 1500 * time.Millisecond
+	slowWindow = 4 * time.Second
+	slowOffset = 1500 * time.Millisecond
+	// doublings is the number of times by which the rate of such VMs doubles within the window. A few of thousands
+	// become relays early, and the others find these.
+	doublings = 12
+)
+
+// ElectionDelay returns the time for which a starting VM looks for a relay before it becomes one itself; u is a random
+// number in [0, 1).
+func ElectionDelay(linkRate, u float64) time.Duration {
+	part := math.Log2(1+u*(math.Exp2(doublings)-1)) / doublings
+	if linkRate > 0 && linkRate < fastLink {
+		return slowOffset + time.Duration(part*float64(slowWindow))
+	}
+	return time.Duration(part * float64(fastWindow))
+}
+
+// compare orders VMs by link rate, the fastest first, and then by the hashes of their names.
+func compare(a, b fleet.VM) int {
+	return cmp.Or(cmp.Compare(b.LinkRate, a.LinkRate), cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)))
+}
