--- /dev/null
+++ b/buffer/budget.go
@@ -0,0 +1,153 @@
+package buffer
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrEvicted is the error for a body that was cut off because the budget was used up.
+var ErrEvicted = errors.New("memory for bodies is used up")
+
+// Budget bounds the total size of the bodies held. It is safe for concurrent use.
+type Budget struct {
+	limit int64
+	// onEvict is called with the name and the size in bytes of each body that is cut off.
+	onEvict func(name string, size int64)
+
+	mu        sync.Mutex
+	used      int64
+	evictions uint64
+	// growing holds the unfinished bodies.
+	growing map[*Hold]struct{}
+	// changed is closed and replaced when bytes are released.
+	changed chan struct{}
+}
+
+// New returns a budget with the limit in bytes. The function onEvict is called with the name and the size in bytes of each
+// body that is cut off.
+func New(limit int64, onEvict func(name string, size int64)) *Budget {
+	return &Budget{limit: limit, onEvict: onEvict, growing: make(map[*Hold]struct{}), changed: make(chan struct{})}
+}
+
+// Used returns the number of bytes held.
+func (b *Budget) Used() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.used
+}
+
+// Evictions returns the number of bodies that were cut off.
+func (b *Budget) Evictions() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.evictions
+}
+
+// Hold is the part of the budget that one body takes.
+type Hold struct {
+	budget *Budget
+	name   string
+	// interrupt ends the read of the body.
+	interrupt func()
+	size      int64
+	evicted   bool
+}
+
+// Open returns an empty hold for an unfinished body, whose name is used in logs. The function interrupt must end the read of
+// the body; Close has to be called in any case.
+func (b *Budget) Open(name string, interrupt func()) *Hold {
+	h := &Hold{budget: b, name: name, interrupt: interrupt}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.growing[h] = struct{}{}
+	return h
+}
+
+// Take returns a hold of n bytes for a complete body, which is never cut off.
+func (b *Budget) Take(n int64) *Hold {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.used += n
+	return &Hold{budget: b, size: n}
+}
+
+// Grow adds n bytes to the hold of an unfinished body. If the budget is used up, the largest unfinished body is cut off,
+// which may be this one; the call then returns ErrEvicted. Otherwise it waits for the memory of the other one.
+func (h *Hold) Grow(ctx context.Context, n int64) error {
+	for {
+		victim, changed, err := h.tryGrow(n)
+		if err != nil || changed == nil {
+			return err
+		}
+		if victim != nil {
+			victim.interrupt()
+			h.budget.onEvict(victim.name, victim.size)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// tryGrow adds the bytes if there is room. Otherwise it returns a channel to wait on, and the body to interrupt if a further
+// one has to be cut off.
+func (h *Hold) tryGrow(n int64) (victim *Hold, changed <-chan struct{}, err error) {
+	b := h.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if h.evicted {
+		return nil, nil, ErrEvicted
+	}
+	if b.used+n <= b.limit {
+		b.used += n
+		h.size += n
+		return nil, nil, nil
+	}
+	largest, freeing := h, int64(0)
+	for other := range b.growing {
+		if other.evicted {
+			freeing += other.size
+			continue
+		}
+		if other != h && other.size > largest.size+n || largest != h && other.size > largest.size {
+			largest = other
+		}
+	}
+	switch {
+	case b.used+n-freeing <= b.limit:
+		return nil, b.changed, nil
+	case largest == h:
+		b.evictions++
+		h.evicted = true
+		return nil, nil, errors.Wrapf(ErrEvicted, "after %d bytes", h.size)
+	default:
+		b.evictions++
+		largest.evicted = true
+		return largest, b.changed, nil
+	}
+}
+
+// IsEvicted reports whether the body was cut off.
+func (h *Hold) IsEvicted() bool {
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	return h.evicted
+}
+
+// Close releases the hold; further calls do nothing.
+func (h *Hold) Close() {
+	b := h.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.growing, h)
+	if h.size > 0 {
+		b.used -= h.size
+		h.size = 0
+		close(b.changed)
+		b.changed = make(chan struct{})
+	}
+}
--- a/exchange/answer.go
+++ b/exchange/answer.go
@@ -4,17 +4,19 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fulmarhitch/fulmarhitch/buffer"
 	"github.com/fulmarhitch/fulmarhitch/header"
 	"github.com/fulmarhitch/fulmarhitch/outcome"
 )
 
-var (
-	errTooLarge = errors.New("answer is larger than the limit")
-	errUnmarked = errors.New("end of the answer can't be told from a broken connection")
-)
+var errUnmarked = errors.New("end of the answer can't be told from a broken connection")
+
+// maxDirectBody is the largest announced length in bytes for which memory is taken at once.
+const maxDirectBody = 32 << 10
 
 // readAnswer reads the whole answer, checks that it belongs to the request and returns the result.
 func (a *attempt) readAnswer(ctx context.Context, resp *http.Response) Result {
@@ -23,11 +25,11 @@
 		a.conn.abort()
 		return unknown(Mismatched, outcome.Mismatched, "answer doesn't name the request")
 	}
-	body, err := a.readBody(resp)
+	body, err := a.readBody(ctx, resp)
 	if err != nil {
 		// The rest of the answer must not be read as the beginning of the next one.
 		a.conn.abort()
-		if errors.Is(err, errTooLarge) || errors.Is(err, errUnmarked) {
+		if errors.IsAny(err, buffer.ErrTooLarge, buffer.ErrEvicted, errUnmarked) {
 			return unknown(Truncated, outcome.Truncated, err.Error())
 		}
 		return a.resultAfterWrite(ctx, outcome.Truncated, Truncated, err)
@@ -69,24 +71,31 @@
 }
 
 // readBody returns the whole body, or an error if it is cut off, too large or without a marked end.
-func (a *attempt) readBody(resp *http.Response) ([]byte, error) {
+func (a *attempt) readBody(ctx context.Context, resp *http.Response) ([]byte, error) {
 	length := resp.ContentLength
 	switch {
 	case a.request.Method == http.MethodHead || length == 0:
 		return nil, nil
 	case length > int64(a.maxAnswer):
-		return nil, errTooLarge
-	case length > 0:
-		body := make([]byte, length)
-		_, err := io.ReadFull(resp.Body, body)
-		return body, err
-	case len(resp.TransferEncoding) == 0 && !a.dialect.AllowCloseDelimited:
+		return nil, errors.Wrapf(buffer.ErrTooLarge, "%d bytes announced", length)
+	case length < 0 && len(resp.TransferEncoding) == 0 && !a.dialect.AllowCloseDelimited:
 		return nil, errUnmarked
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(a.maxAnswer)+1))
-	if err == nil && len(body) > a.maxAnswer {
-		return nil, errTooLarge
+	c := a.conn
+	hold := a.bodies.Open(a.request.ID, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	defer hold.Close()
+	if length < 0 || length > maxDirectBody {
+		body, err := buffer.Read(ctx, resp.Body, int64(a.maxAnswer), hold)
+		if err != nil && hold.IsEvicted() {
+			err = errors.Mark(err, buffer.ErrEvicted)
+		}
+		return body, err
+	}
+	if err := hold.Grow(ctx, length); err != nil {
+		return nil, err
 	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(resp.Body, body)
 	return body, err
 }
 
--- a/exchange/attempt.go
+++ b/exchange/attempt.go
@@ -11,6 +11,8 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/net/http/httpguts"
 
+	"github.com/fulmarhitch/fulmarhitch/backoff"
+	"github.com/fulmarhitch/fulmarhitch/buffer"
 	"github.com/fulmarhitch/fulmarhitch/declaration"
 	"github.com/fulmarhitch/fulmarhitch/outcome"
 	"github.com/fulmarhitch/fulmarhitch/request"
@@ -20,6 +22,9 @@
 	// maxSyncBody is the largest body in bytes that is written before the answer is read. It is below the sizes of socket
 	// buffers, so that an upstream that answers without reading the body doesn't block the write.
 	maxSyncBody = 16 << 10
+	// callerGrace is the time for which an answer is still read after its caller has left, so that a short one doesn't cost
+	// the connection.
+	callerGrace = 250 * time.Millisecond
 	// maxInterim is the maximum number of responses read until the final one; those before it are informational.
 	maxInterim = 5
 )
@@ -30,6 +35,8 @@
 type attempt struct {
 	pool      *connPool
 	dialect   *Dialect
+	bodies    *buffer.Budget
+	caller    context.Context
 	request   *request.Request
 	upstream  declaration.Upstream
 	maxAnswer int
@@ -51,15 +58,23 @@
 		return a.resultWithoutAnswer(ctx, err)
 	}
 	a.conn.begin(a.request.Deadline)
-	// The end of ctx interrupts reads and writes in progress. The connection is not reused after that.
+	// The end of the context interrupts reads and writes in progress. The connection is not reused after that.
 	c := a.conn
-	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	resp, written, err := a.roundTrip(req)
+	attemptCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(attemptCtx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	resp, written, err := a.roundTrip(attemptCtx, req)
 	if err != nil {
 		stop()
 		return a.resultWithoutAnswer(ctx, err)
 	}
-	res = a.readAnswer(ctx, resp)
+	if a.caller != ctx {
+		defer context.AfterFunc(a.caller, func() {
+			backoff.Sleep(attemptCtx, callerGrace)
+			cancel()
+		})()
+	}
+	res = a.readAnswer(attemptCtx, resp)
 	if stop() && written() && !resp.Close && c.reader.Buffered() == 0 && !c.isAborted() {
 		a.pool.put(c, keepAliveTimeout(resp.Header))
 	} else {
@@ -69,18 +84,18 @@
 }
 
 // roundTrip writes the request and reads the headers of its answer; written reports whether the whole request was written.
-func (a *attempt) roundTrip(req *http.Request) (resp *http.Response, written func() bool, err error) {
+func (a *attempt) roundTrip(ctx context.Context, req *http.Request) (resp *http.Response, written func() bool, err error) {
 	if len(a.request.Body) <= maxSyncBody {
 		if err := a.conn.writeRequest(req); err != nil {
 			return nil, nil, err
 		}
-		resp, err = a.receive(req)
+		resp, err = a.receive(ctx, req)
 		return resp, func() bool { return true }, err
 	}
 	sent := make(chan error, 1)
 	c := a.conn
 	go func() { sent <- c.writeRequest(req) }()
-	resp, err = a.receive(req)
+	resp, err = a.receive(ctx, req)
 	return resp, func() bool {
 		select {
 		case err := <-sent:
@@ -93,13 +108,13 @@
 
 // receive reads the headers of the answer. It reads and drops answers to other requests that precede it, up to the
 // dialect's limit.
-func (a *attempt) receive(req *http.Request) (*http.Response, error) {
+func (a *attempt) receive(ctx context.Context, req *http.Request) (*http.Response, error) {
 	for skipped := 0; ; skipped++ {
 		resp, err := a.conn.readResponse(req)
 		if err != nil || skipped == a.dialect.MaxMismatched || !a.namesOther(resp) {
 			return resp, err
 		}
-		_, err = a.readBody(resp)
+		_, err = a.readBody(ctx, resp)
 		_ = resp.Body.Close()
 		if err != nil {
 			return nil, err
--- /dev/null
+++ b/exchange/endless_test.go
@@ -0,0 +1,326 @@
+package exchange_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/fulmarhitch/fulmarhitch/buffer"
+	"github.com/fulmarhitch/fulmarhitch/exchange"
+	"github.com/fulmarhitch/fulmarhitch/outcome"
+	"github.com/fulmarhitch/fulmarhitch/request"
+)
+
+// endlessAnswer is an answer that begins with a text and continues with a repeated one until the connection closes.
+type endlessAnswer struct {
+	start, rest string
+}
+
+// head is the begin of a proper answer to the request r1.
+const head = "HTTP/1.1 200 OK\r\nFulmarhitch-Request-Id: r1\r\n"
+
+// endlessAnswers are the places in which bytes may come without end.
+var endlessAnswers = map[string]endlessAnswer{
+	"status line":              {"HTTP/1.1 200 ", "O"},
+	"no HTTP":                  {"", "\x00\xff"},
+	"header lines":             {head, "A: b\r\n"},
+	"one header line":          {head + "A: ", "b"},
+	"informational answers":    {"", "HTTP/1.1 102 Processing\r\n\r\n"},
+	"chunks":                   {head + "Transfer-Encoding: chunked\r\n\r\n", "1000\r\n" + strings.Repeat("x", 0x1000) + "\r\n"},
+	"one chunk":                {head + "Transfer-Encoding: chunked\r\n\r\nfffffffffff\r\n", "x"},
+	"chunk size":               {head + "Transfer-Encoding: chunked\r\n\r\n", "0"},
+	"chunk extension":          {head + "Transfer-Encoding: chunked\r\n\r\n1;a=", "b"},
+	"trailers":                 {head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"},
+	"body without a length":    {head + "\r\n", "x"},
+	"body with a large length": {head + "Content-Length: 1000000000000\r\n\r\n", "x"},
+	"other answers":            {"", "HTTP/1.1 200 OK\r\nFulmarhitch-Request-Id: r0\r\nContent-Length: 1\r\n\r\nx"},
+}
+
+// flood serves connections, on each of which it reads one request and then sends an answer without an end. With an interval
+// it sends one byte at a time.
+type flood struct {
+	net.Listener
+	answer   endlessAnswer
+	interval time.Duration
+	// open is the number of connections that are open.
+	open atomic.Int64
+}
+
+func startFlood(t testing.TB, a endlessAnswer, interval time.Duration) *flood {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &flood{Listener: l, answer: a, interval: interval}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			f.open.Add(1)
+			go func() {
+				defer f.open.Add(-1)
+				defer c.Close()
+				f.serve(c)
+			}()
+		}
+	}()
+	return f
+}
+
+func (f *flood) serve(c net.Conn) {
+	r, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	rest := []byte(strings.Repeat(f.answer.rest, 1+(32<<10)/len(f.answer.rest)))
+	if f.interval == 0 {
+		_, err = io.WriteString(c, f.answer.start)
+		for err == nil {
+			_, err = c.Write(rest)
+		}
+		return
+	}
+	for _, b := range []byte(f.answer.start + string(rest)) {
+		if _, err := c.Write([]byte{b}); err != nil {
+			return
+		}
+		time.Sleep(f.interval)
+	}
+}
+
+// isClosed reports whether all connections close within the time.
+func (f *flood) isClosed(within time.Duration) bool {
+	for end := time.Now().Add(within); f.open.Load() > 0; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			return false
+		}
+	}
+	return true
+}
+
+// closeTimeout is longer than a closed connection needs to reach the other side on a busy machine.
+const closeTimeout = 10 * time.Second
+
+// TestEndlessAnswers guards against an answer without an end that is reported as success or as not run, that keeps its
+// connection or a goroutine, or that is read beyond a bound.
+func TestEndlessAnswers(t *testing.T) {
+	const maxAnswer, maxMemory = 1 << 20, 4 << 20
+	for name, answer := range endlessAnswers {
+		t.Run(name, func(t *testing.T) {
+			f := startFlood(t, answer, 0)
+			defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+			b := buffer.New(maxMemory, func(string, int64) {})
+			e := exchange.NewWithDialect(fourConnections, lenient, b)
+			defer e.Close()
+			res := e.Do(t.Context(), newVerbatimRequest("r1", "body"), upstream(f.Addr().String()), maxAnswer)
+			if _, ok := res.Outcome.(outcome.Unknown); !ok {
+				t.Errorf("class %s, outcome %+v", res.Class, res.Outcome)
+			}
+			if !f.isClosed(closeTimeout) {
+				t.Error("the connection stays open")
+			}
+			if b.Used() != 0 {
+				t.Errorf("%d bytes stay held", b.Used())
+			}
+		})
+	}
+}
+
+// TestDrip guards against an answer that arrives byte by byte and is read beyond the request's deadline.
+func TestDrip(t *testing.T) {
+	const wait = 300 * time.Millisecond
+	for name, answer := range endlessAnswers {
+		t.Run(name, func(t *testing.T) {
+			f := startFlood(t, answer, 20*time.Millisecond)
+			defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+			e := exchange.NewWithDialect(fourConnections, lenient, buffer.New(1<<20, func(string, int64) {}))
+			defer e.Close()
+			r := newVerbatimRequest("r1", "")
+			r.Deadline = time.Now().Add(wait)
+			res := e.Do(t.Context(), r, upstream(f.Addr().String()), 1<<20)
+			if late := time.Since(r.Deadline); late > closeTimeout {
+				t.Errorf("ended %s after the deadline", late)
+			}
+			if _, ok := res.Outcome.(outcome.Unknown); !ok {
+				t.Errorf("class %s, outcome %+v", res.Class, res.Outcome)
+			}
+			if !f.isClosed(closeTimeout) {
+				t.Error("the connection stays open")
+			}
+		})
+	}
+}
+
+// TestCallerLeaves guards against the body of an answer that is read on for seconds after its caller has left.
+func TestCallerLeaves(t *testing.T) {
+	f := startFlood(t, endlessAnswer{head + "\r\n", "x"}, 5*time.Millisecond)
+	e := exchange.NewWithDialect(fourConnections, lenient, buffer.New(1<<20, func(string, int64) {}))
+	defer e.Close()
+	caller, leave := context.WithCancel(t.Context())
+	result := make(chan exchange.Result, 1)
+	go func() {
+		result <- e.DoFor(t.Context(), caller, newVerbatimRequest("r1", ""), upstream(f.Addr().String()), 1<<20)
+	}()
+	select {
+	case res := <-result:
+		t.Fatalf("class %s before the caller left", res.Class)
+	case <-time.After(time.Second):
+	}
+	leave()
+	start := time.Now()
+	if res := <-result; res.Class != exchange.Cancelled {
+		t.Errorf("class %s, outcome %+v", res.Class, res.Outcome)
+	}
+	if took := time.Since(start); took > 500*time.Millisecond {
+		t.Errorf("read on for %s", took)
+	}
+}
+
+// TestIdleFlood guards against bytes that arrive on an idle connection and stay there, or are taken for the next answer.
+func TestIdleFlood(t *testing.T) {
+	s := startScripted(t, func(n int64, r *http.Request) (string, bool) {
+		id := r.Header.Get("Fulmarhitch-Request-Id")
+		if n == 1 {
+			return response(id, "first") + strings.Repeat("x", 1<<10), true
+		}
+		return response(id, "second"), true
+	})
+	e := exchange.NewWithDialect(fourConnections, lenient, buffer.New(1<<20, func(string, int64) {}))
+	defer e.Close()
+	up := upstream(s.Addr().String())
+	for i, want := range []string{"first", "second"} {
+		res := e.Do(t.Context(), newVerbatimRequest(fmt.Sprint("r", i), ""), up, 1<<20)
+		a, ok := res.Outcome.(outcome.Answered)
+		if !ok || string(a.Body) != want {
+			t.Errorf("outcome %+v, want %q", res.Outcome, want)
+		}
+		time.Sleep(50 * time.Millisecond)
+		e.CloseBroken()
+	}
+	if n := s.connections.Load(); n != 2 {
+		t.Errorf("%d connections, want 2", n)
+	}
+}
+
+// TestManyEndlessAnswers guards against answers without an end that together take more memory than a VM has, or that make
+// requests to sound upstreams fail.
+func TestManyEndlessAnswers(t *testing.T) {
+	const (
+		floods = 200
+		// memory is that of the smallest VM, and a quarter of it is for bodies.
+		memory    = 184 << 20
+		maxAnswer = 16 << 20
+		requests  = 200
+		maxFailed = requests / 100
+	)
+	f := startFlood(t, endlessAnswer{head + "\r\n", "x"}, 0)
+	sound := startScripted(t, func(_ int64, r *http.Request) (string, bool) {
+		return response(r.Header.Get("Fulmarhitch-Request-Id"), strings.Repeat("y", 5000)), true
+	})
+	runtime.GC()
+	var before runtime.MemStats
+	runtime.ReadMemStats(&before)
+	b := buffer.New(memory/4, func(string, int64) {})
+	e := exchange.NewWithDialect(func(string) int { return floods }, lenient, b)
+	defer e.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	var all sync.WaitGroup
+	for range floods {
+		all.Go(func() {
+			for ctx.Err() == nil {
+				res := e.Do(ctx, newVerbatimRequest("r1", ""), upstream(f.Addr().String()), maxAnswer)
+				if _, ok := res.Outcome.(outcome.Answered); ok {
+					t.Error("an answer without an end was reported as success")
+				}
+			}
+		})
+	}
+	failed, peak := 0, uint64(0)
+	for range requests {
+		res := e.Do(t.Context(), newVerbatimRequest("r2", ""), upstream(sound.Addr().String()), maxAnswer)
+		if _, ok := res.Outcome.(outcome.Answered); !ok {
+			failed++
+		}
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		peak = max(peak, m.HeapAlloc-min(before.HeapAlloc, m.HeapAlloc))
+		if used := b.Used(); used > memory/4 {
+			t.Errorf("%d bytes held", used)
+		}
+	}
+	cancel()
+	all.Wait()
+	if failed > maxFailed {
+		t.Errorf("%d of %d requests to a sound upstream failed", failed, requests)
+	}
+	if peak > memory {
+		t.Errorf("the heap grew by %d MB", peak>>20)
+	}
+	t.Logf("heap grew by %d MB, %d answers cut off", peak>>20, b.Evictions())
+}
+
+// newVerbatimRequest returns a request whose path is a whole target.
+func newVerbatimRequest(id, body string) *request.Request {
+	r := newRequest(id, body)
+	r.Path = "/p"
+	return r
+}
+
+// lenient is the dialect of upstreams whose answers may end with their connections.
+var lenient = func() exchange.Dialect {
+	return exchange.Dialect{
+		RequestID: "Fulmarhitch-Request-Id", Deadline: "Fulmarhitch-Deadline-Ms", AllowCloseDelimited: true, MaxMismatched: 2, Verbatim: true,
+		EndToEnd: func(h http.Header) http.Header { return h }, Report: func(http.Header, *exchange.Result) {},
+		Refusal:   func(*http.Response) (outcome.Reason, bool) { return "", false },
+		IsAltered: func(*http.Response) bool { return false },
+	}
+}()
+
+// FuzzAnswer guards against bytes from an upstream that end the process, take memory without a bound, or are reported as an
+// answer to a request that they don't name.
+func FuzzAnswer(f *testing.F) {
+	for _, a := range endlessAnswers {
+		f.Add([]byte(a.start + strings.Repeat(a.rest, 10)))
+	}
+	f.Add([]byte(head + "Content-Length: 2\r\n\r\nok"))
+	f.Add([]byte(head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\n" + head + "Content-Length: 2\r\n\r\nok"))
+	f.Fuzz(func(t *testing.T, answer []byte) {
+		s := startScripted(t, func(int64, *http.Request) (string, bool) { return string(answer), false })
+		defer s.Close()
+		b := buffer.New(256<<10, func(string, int64) {})
+		e := exchange.NewWithDialect(fourConnections, lenient, b)
+		defer e.Close()
+		r := &request.Request{ID: "r1", Service: "s", Method: http.MethodGet, Path: "/p", Header: http.Header{}, Deadline: time.Now().Add(time.Second)}
+		res := e.Do(t.Context(), r, upstream(s.Addr().String()), 64<<10)
+		a, answered := res.Outcome.(outcome.Answered)
+		if answered && !bytes.Contains(answer, []byte("r1")) {
+			t.Errorf("answer %+v to a request that the bytes don't name", a)
+		}
+		if answered && len(a.Body) > 64<<10 {
+			t.Errorf("body of %d bytes", len(a.Body))
+		}
+		if _, notRun := res.Outcome.(outcome.NotRun); notRun {
+			t.Errorf("outcome %+v of a request that was sent", res.Outcome)
+		}
+		if b.Used() != 0 {
+			t.Errorf("%d bytes stay held", b.Used())
+		}
+	})
+}
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -436,3 +436,22 @@
 		}
 	}
 }
+
+// TestShareChange guards against connections that are closed, and opened again by the next requests, whenever a VM joins or
+// leaves the fleet and the shares change.
+func TestShareChange(t *testing.T) {
+	Convey("Given a share that changes between requests", t, func() {
+		s := startScripted(t, func(_ int64, r *http.Request) (string, bool) {
+			return response(r.Header.Get("Fulmarhitch-Request-Id"), "ok"), true
+		})
+		var share atomic.Int64
+		e := exchange.New(func(string) int { return int(share.Load()) })
+		defer e.Close()
+		for i, n := range []int64{13, 12, 14, 4, 40} {
+			share.Store(n)
+			res := e.Do(context.Background(), newRequest(fmt.Sprint("r", i), "b"), upstream(s.Addr().String()), 10)
+			So(res.Class, ShouldEqual, exchange.Answered)
+		}
+		So(s.connections.Load(), ShouldEqual, 1)
+	})
+}
--- a/exchange/exchanger.go
+++ b/exchange/exchanger.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fulmarhitch/fulmarhitch/buffer"
 	"github.com/fulmarhitch/fulmarhitch/declaration"
 	"github.com/fulmarhitch/fulmarhitch/outcome"
 	"github.com/fulmarhitch/fulmarhitch/request"
@@ -17,6 +18,7 @@
 type Exchanger struct {
 	connections func(service string) int
 	dialect     *Dialect
+	bodies      *buffer.Budget
 
 	mu    sync.RWMutex
 	pools map[string]*connPool
@@ -30,23 +32,32 @@
 	maxHealthBody = 4 << 10
 	// healthTimeout bounds a health request whose context has no earlier deadline.
 	healthTimeout = time.Second
+	// maxBodies bounds the bodies of answers held by an exchanger without a budget from outside, in bytes.
+	maxBodies = 64 << 20
 )
 
 // New returns an exchanger for the native dialect that opens at most connections(service) connections to each upstream of
 // the service. It calls the function for each request; a result below 1 allows no connections.
 func New(connections func(service string) int) *Exchanger {
-	return NewWithDialect(connections, native)
+	return NewWithDialect(connections, native, buffer.New(maxBodies, func(string, int64) {}))
 }
 
-// NewWithDialect returns an exchanger like that of New for upstreams with the given dialect.
-func NewWithDialect(connections func(service string) int, d Dialect) *Exchanger {
-	return &Exchanger{connections: connections, dialect: &d, pools: make(map[string]*connPool)}
+// NewWithDialect returns an exchanger like that of New for upstreams with the given dialect. The bodies of unfinished answers
+// are held within the budget.
+func NewWithDialect(connections func(service string) int, d Dialect, bodies *buffer.Budget) *Exchanger {
+	return &Exchanger{connections: connections, dialect: &d, bodies: bodies, pools: make(map[string]*connPool)}
 }
 
 // Do sends the request to the upstream at most once and returns the result. A body of more than maxAnswer bytes counts as
 // truncated. Do returns at the latest at the request's deadline plus the time to check whether the upstream has died.
 func (e *Exchanger) Do(ctx context.Context, r *request.Request, up declaration.Upstream, maxAnswer int) Result {
-	return e.do(ctx, r, up, maxAnswer, true)
+	return e.do(ctx, ctx, r, up, maxAnswer, true)
+}
+
+// DoFor is like Do for a caller whose context is done once it has left. The request is still sent then, but the body of its
+// answer is no longer read after a short time.
+func (e *Exchanger) DoFor(ctx, caller context.Context, r *request.Request, up declaration.Upstream, maxAnswer int) Result {
+	return e.do(ctx, caller, r, up, maxAnswer, true)
 }
 
 // Health requests the state from the upstream's health endpoint. The connection counts toward this process's share of
@@ -56,7 +67,7 @@
 		ID: "health", Service: service, Kind: "health", Method: http.MethodGet, Idempotent: true,
 		Deadline: time.Now().Add(healthTimeout),
 	}
-	res := e.do(ctx, r, up, maxHealthBody, false)
+	res := e.do(ctx, ctx, r, up, maxHealthBody, false)
 	a, ok := res.Outcome.(outcome.Answered)
 	if !ok {
 		return "", errors.Newf("exchange: health of %s: %s: %+v", up.Name, res.Class, res.Outcome)
@@ -69,7 +80,16 @@
 
 // Poll sends a request whose answer need not echo the request identifier, and returns the result.
 func (e *Exchanger) Poll(ctx context.Context, r *request.Request, up declaration.Upstream) Result {
-	return e.do(ctx, r, up, maxHealthBody, false)
+	return e.do(ctx, ctx, r, up, maxHealthBody, false)
+}
+
+// CloseBroken closes the idle connections that the upstreams have closed, or on which they have sent anything.
+func (e *Exchanger) CloseBroken() {
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	for _, p := range e.pools {
+		p.closeBroken()
+	}
 }
 
 // Close closes the idle connections; those in use close when their requests end.
@@ -81,7 +101,7 @@
 	}
 }
 
-func (e *Exchanger) do(ctx context.Context, r *request.Request, up declaration.Upstream, maxAnswer int, echo bool) Result {
+func (e *Exchanger) do(ctx, caller context.Context, r *request.Request, up declaration.Upstream, maxAnswer int, echo bool) Result {
 	if !time.Now().Before(r.Deadline) {
 		return unsent(outcome.DeadlineUnreachable, "deadline has passed")
 	}
@@ -100,7 +120,9 @@
 	}
 	p := e.pool(r.Service)
 	p.setShare(share)
-	a := attempt{pool: p, dialect: e.dialect, request: r, upstream: up, maxAnswer: maxAnswer, echo: echo}
+	a := attempt{
+		pool: p, dialect: e.dialect, bodies: e.bodies, caller: caller, request: r, upstream: up, maxAnswer: maxAnswer, echo: echo,
+	}
 	for try := 1; ; try++ {
 		res, stale := a.run(ctx)
 		if !stale || try == maxTries {
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -67,7 +67,7 @@
 	}
 }
 
-// setShare sets the share of connections to each upstream, and closes the idle connections if it changes.
+// setShare sets the share of connections to each upstream, and closes the idle connections that exceed it.
 func (p *connPool) setShare(share int) {
 	p.mu.Lock()
 	if p.share == share {
@@ -75,10 +75,15 @@
 		return
 	}
 	p.share = share
-	old := p.takeIdle()
+	var excess []*conn
+	for address, conns := range p.idle {
+		n := min(max(p.open[address]-share, 0), len(conns))
+		excess = append(excess, conns[:n]...)
+		p.idle[address] = conns[n:]
+	}
 	p.notify()
 	p.mu.Unlock()
-	closeAll(old)
+	closeAll(excess)
 }
 
 // takeIdle removes and returns the idle connections; the caller holds mu.
@@ -230,7 +235,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), deathCheckTimeout)
 	defer cancel()
 	// Idle connections that the upstream closed still count toward the share, which the check needs too.
-	p.closeBroken(address)
+	p.closeBrokenTo(address)
 	if err := p.reserve(ctx, address); err != nil {
 		return false
 	}
@@ -241,19 +246,38 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// closeBroken closes the idle connections to the address that can't be reused.
-func (p *connPool) closeBroken(address string) {
+// closeBrokenTo closes the idle connections to the address that can't be reused.
+func (p *connPool) closeBrokenTo(address string) {
+	p.mu.Lock()
+	broken := p.takeBroken(address)
+	p.mu.Unlock()
+	closeAll(broken)
+}
+
+// closeBroken closes the idle connections that can't be reused.
+func (p *connPool) closeBroken() {
 	p.mu.Lock()
 	var broken []*conn
-	p.idle[address] = slices.DeleteFunc(p.idle[address], func(c *conn) bool {
+	for address := range p.idle {
+		broken = append(broken, p.takeBroken(address)...)
+	}
+	p.mu.Unlock()
+	closeAll(broken)
+}
+
+// takeBroken removes and returns the idle connections to the address that can't be reused; the caller holds mu.
+func (p *connPool) takeBroken(address string) (broken []*conn) {
+	conns := slices.DeleteFunc(p.idle[address], func(c *conn) bool {
 		if c.isReusable() {
 			return false
 		}
 		broken = append(broken, c)
 		return true
 	})
-	p.mu.Unlock()
-	closeAll(broken)
+	if p.idle[address] = conns; len(conns) == 0 {
+		delete(p.idle, address)
+	}
+	return broken
 }
 
 // reserve waits until the share allows a new connection, and counts it as open.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -34,9 +34,11 @@
 	registered *grace.Set[VM]
 	present    map[string]VM
 	list       []VM
-	relays     []VM
-	serving    bool
-	leaving    bool
+	// local is the number of VMs of list in this VM's failure domain.
+	local   int
+	relays  []VM
+	serving bool
+	leaving bool
 	// storedSize is the size of the fleet that the store states, or 0 if it isn't known.
 	storedSize int
 }
@@ -97,15 +99,15 @@
 	return f.storedSize
 }
 
-// Size returns the number of VMs. Until the VMs have listed themselves, it is the size that the store states if that is
-// larger.
-func (f *Fleet) Size() int {
+// Size returns the number of VMs, and of those in this VM's failure domain. Until the VMs have listed themselves, the number
+// is the size that the store states if that is larger.
+func (f *Fleet) Size() (vms, local int) {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
 	if len(f.present) == 0 {
-		return max(len(f.list), f.storedSize)
+		return max(len(f.list), f.storedSize), max(f.local, f.storedSize)
 	}
-	return len(f.list)
+	return len(f.list), f.local
 }
 
 // IsListed reports whether the store lists the present incarnation of this VM.
@@ -208,10 +210,13 @@
 		self.Serving = f.serving
 		vms[self.Name] = self
 	}
-	list := make([]VM, 0, len(vms))
+	list, local := make([]VM, 0, len(vms)), 0
 	for _, vm := range vms {
 		list = append(list, vm)
+		if vm.FailureDomain == f.self.FailureDomain {
+			local++
+		}
 	}
 	slices.SortFunc(list, func(a, b VM) int { return strings.Compare(a.Name, b.Name) })
-	f.list, f.relays = list, relays
+	f.list, f.local, f.relays = list, local, relays
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -41,8 +41,11 @@
 	Convey("Given a store that states 400 VMs", t, func() {
 		f := fleet.New(fleet.VM{Name: "a"})
 		f.SetStoredSize(400)
-		So(f.Size(), ShouldEqual, 400)
-		f.SetPresent([]fleet.VM{{Name: "b"}, {Name: "c"}})
-		So(f.Size(), ShouldEqual, 3)
+		vms, _ := f.Size()
+		So(vms, ShouldEqual, 400)
+		f.SetPresent([]fleet.VM{{Name: "b"}, {Name: "c", FailureDomain: "other"}})
+		vms, local := f.Size()
+		So(vms, ShouldEqual, 3)
+		So(local, ShouldEqual, 2)
 	})
 }
--- a/forwarder/choose.go
+++ b/forwarder/choose.go
@@ -26,9 +26,9 @@
 	// acceptableCost is the cost, in usual service times, above which upstreams of other failure domains are considered
 	// too; above it, answers miss the target time of most rules.
 	acceptableCost = 2.2
-	// subsetSize is the number of upstreams of a service in the failure domain that a VM uses. It is large enough to find
+	// SubsetSize is the number of upstreams of a service in the failure domain that a VM uses. It is large enough to find
 	// one at normal speed while some have failed.
-	subsetSize = 16
+	SubsetSize = 16
 	// selectionInterval is the mean time between two rounds of selection for a waiting request.
 	selectionInterval = 12 * time.Millisecond
 	// targetShare is the share of a rule's target time within which an expected answer counts as in time.
@@ -100,11 +100,11 @@
 	return best
 }
 
-// subset returns at most subsetSize upstreams by rendezvous hashing: the same ones on each call, and different ones on most
+// subset returns at most SubsetSize upstreams by rendezvous hashing: the same ones on each call, and different ones on most
 // other VMs. A VM that used all of them would need a connection to each, and few connections would be used again before
 // they close.
 func (r *run) subset(all []roster.Upstream) []roster.Upstream {
-	if len(all) <= subsetSize {
+	if len(all) <= SubsetSize {
 		return all
 	}
 	type ranked struct {
@@ -116,7 +116,7 @@
 		list[i] = ranked{u, xxhash.Sum64String(r.config.VM + " " + u.ID)}
 	}
 	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(a.hash, b.hash) })
-	preferred := make([]roster.Upstream, subsetSize)
+	preferred := make([]roster.Upstream, SubsetSize)
 	for i := range preferred {
 		preferred[i] = list[i].upstream
 	}
--- a/forwarder/config.go
+++ b/forwarder/config.go
@@ -11,9 +11,9 @@
 	"github.com/fulmarhitch/fulmarhitch/roster"
 )
 
-// Transport sends a request to one upstream and returns the result.
+// Transport sends a request to one upstream and returns the result. The context caller is done once the caller has left.
 type Transport interface {
-	Do(ctx context.Context, r *request.Request, up declaration.Upstream, maxAnswerBytes int) exchange.Result
+	DoFor(ctx, caller context.Context, r *request.Request, up declaration.Upstream, maxAnswerBytes int) exchange.Result
 }
 
 // Sampler polls upstreams to refresh their conditions.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -53,6 +53,8 @@
 	// are in progress only if the caller of an idempotent request has disconnected.
 	ctx   context.Context
 	abort context.CancelFunc
+	// caller is done once the caller has left.
+	caller context.Context
 }
 
 // Serve forwards the request and returns its outcome. Cancellation of ctx means that the caller has disconnected.
@@ -64,7 +66,7 @@
 		return Result{Outcome: outcome.NotRun{Reason: outcome.Quarantined}}
 	}
 	f.config.Retries.Earn(j.Request.Service)
-	r := &run{Forwarder: f, job: j, results: make(chan attemptResult, max(j.Rule.Attempts, 1))}
+	r := &run{Forwarder: f, job: j, caller: ctx, results: make(chan attemptResult, max(j.Rule.Attempts, 1))}
 	r.ctx, r.abort = context.WithDeadline(context.WithoutCancel(ctx), j.Request.Deadline)
 	out := r.serve(ctx)
 	return Result{Outcome: out, Attempts: r.attempts}
@@ -229,10 +231,10 @@
 	})
 	r.inFlight++
 	r.config.Conditions.Begin(up.ID, now)
-	job, ctx, results := r.job, r.ctx, r.results
+	job, ctx, caller, results := r.job, r.ctx, r.caller, r.results
 	go func() {
 		began := time.Now()
-		res := r.config.Transport.Do(ctx, job.Request, declaration.Upstream{Name: up.ID, Address: up.Address}, maxAnswerBytes)
+		res := r.config.Transport.DoFor(ctx, caller, job.Request, declaration.Upstream{Name: up.ID, Address: up.Address}, maxAnswerBytes)
 		r.observe(up, res)
 		results <- attemptResult{index: index, result: res, took: time.Since(began)}
 	}()
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -69,7 +69,7 @@
 }
 
 // Do runs a request; the length of its body is its service time in ms at normal speed.
-func (s *service) Do(ctx context.Context, r *request.Request, up declaration.Upstream, _ int) exchange.Result {
+func (s *service) DoFor(ctx, _ context.Context, r *request.Request, up declaration.Upstream, _ int) exchange.Result {
 	s.mu.Lock()
 	s.arrivals[r.ID]++
 	u := s.ups[up.Name]
--- a/forwarder/retries.go
+++ b/forwarder/retries.go
@@ -46,7 +46,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	b := r.get(service)
-	if hedge && b.Tokens() < 1+hedgeReserve*r.burst {
+	// With a small burst, a hedge needs all of it.
+	if hedge && b.Tokens() < min(1+hedgeReserve*r.burst, r.burst) {
 		return false
 	}
 	return b.Spend()
--- a/gateway/endpoint.go
+++ b/gateway/endpoint.go
@@ -13,6 +13,9 @@
 // endpointTimeout bounds the reading of a request's headers and the idle time of a connection.
 const endpointTimeout = 10 * time.Second
 
+// maxEndpointHeaderBytes bounds the headers of a request.
+const maxEndpointHeaderBytes = 16 << 10
+
 // endpoint is a kernel service that runs an HTTP server on a listener of its own.
 type endpoint struct {
 	listener net.Listener
@@ -22,7 +25,7 @@
 
 func newEndpoint(l net.Listener, h http.Handler) *endpoint {
 	return &endpoint{listener: l, http: &http.Server{
-		Handler: h, ReadHeaderTimeout: endpointTimeout, IdleTimeout: endpointTimeout, ErrorLog: log.New(io.Discard, "", 0),
+		Handler: h, ReadHeaderTimeout: endpointTimeout, IdleTimeout: endpointTimeout, MaxHeaderBytes: maxEndpointHeaderBytes, ErrorLog: log.New(io.Discard, "", 0),
 	}}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/fulmarhitch/fulmarhitch/asynclog"
+	"github.com/fulmarhitch/fulmarhitch/buffer"
 	"github.com/fulmarhitch/fulmarhitch/condition"
 	"github.com/fulmarhitch/fulmarhitch/crash"
 	"github.com/fulmarhitch/fulmarhitch/directory"
@@ -78,6 +79,7 @@
 	conditions   *condition.Table
 	splitter     *split.Splitter
 	retries      *forwarder.Retries
+	bodies       *buffer.Budget
 	exchanger    *exchange.Exchanger
 	sampler      *sampler.Sampler
 	mirror       *mirror.Mirror
@@ -159,8 +161,11 @@
 // registerServices creates the services and registers them in the order of their start; they stop in reverse order.
 func (g *Gateway) registerServices(l listeners) {
 	s := g.settings.Load()
-	g.exchanger = exchange.NewWithDialect(g.connectionShare, g.config.UpstreamDialect)
-	g.sampler = sampler.New(g.exchanger, g.conditions)
+	g.bodies = buffer.New(s.BodyBytes(), func(request string, size int64) {
+		g.log.WithFields(logrus.Fields{"request": request, "bytes": size, "limit": s.BodyBytes()}).Warn("memory for bodies is used up; largest unfinished body cut off")
+	})
+	g.exchanger = exchange.NewWithDialect(g.connectionShare, g.config.UpstreamDialect, g.bodies)
+	g.sampler = sampler.New(g.exchanger, g.conditions, g.pollShare)
 	g.crashGuard = crash.New(g.config.Store, g.log)
 	g.mirror = mirror.New(mirror.Config{
 		Store: g.config.Store, Decode: g.config.Decode, Sources: g.sources, Discover: g.discover,
@@ -176,7 +181,7 @@
 			Sampler: g.sampler, Retries: g.retries, Times: forwarder.NewTimes(),
 			Pressure: forwarder.NewPressure(), Quarantine: g.crashGuard,
 		}),
-		Rules: g.mirror.Rules, RulesAge: g.mirror.Age, Pick: g.splitter.Pick, Metrics: metrics, Log: g.log,
+		Rules: g.mirror.Rules, RulesAge: g.mirror.Age, MaxRulesAge: s.RulesDelay, Bodies: g.bodies, Pick: g.splitter.Pick, Metrics: metrics, Log: g.log,
 	})
 	g.registration = registration.New(g.config.Store, g.fleet.Self(), g.shouldRegister, g.fleet.IsListed, g.log)
 	g.kernel.Register("mirror", g.mirror)
@@ -209,6 +214,8 @@
 		Upstreams:  func() float64 { return float64(g.roster.Len()) },
 		VMs:        func() float64 { return float64(len(g.fleet.List())) },
 		Polls:      func() float64 { return float64(g.sampler.Polls()) },
+		BodyBytes:  func() float64 { return float64(g.bodies.Used()) },
+		Evictions:  func() float64 { return float64(g.bodies.Evictions()) },
 		LogDropped: func() float64 { return float64(g.logWriter.Dropped()) },
 	}
 }
--- a/gateway/housekeeping.go
+++ b/gateway/housekeeping.go
@@ -8,6 +8,10 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/fulmarhitch/fulmarhitch/allotment"
+	"github.com/fulmarhitch/fulmarhitch/forwarder"
+	"github.com/fulmarhitch/fulmarhitch/roster"
 )
 
 const (
@@ -15,11 +19,6 @@
 	housekeepingInterval = 500 * time.Millisecond
 	// settingsCheckInterval is the time between two reads of the settings, which may change without a signal.
 	settingsCheckInterval = 5 * time.Second
-	// fleetLimitFraction is the fraction of a fleet-wide limit that is used, because VMs disagree about the size of the fleet
-	// for a while after it changes.
-	fleetLimitFraction = 0.8
-	// minConnections is the minimum number of connections to an upstream; requests and polls each need one.
-	minConnections = 4
 )
 
 // runHousekeeping removes expired state and reads the settings again when they may have changed.
@@ -48,6 +47,7 @@
 			g.reload("signal")
 		case <-settings.C:
 			g.reload("")
+			g.exchanger.CloseBroken()
 		}
 	}
 }
@@ -73,24 +73,34 @@
 	}).Info("settings reloaded")
 }
 
-// divideLimits divides the fleet-wide limits by the number of VMs, and drops the splitter's state of rules that are no
-// longer in force.
+// divideLimits divides the fleet-wide limits among the VMs, and drops the splitter's state of rules that are no longer in
+// force.
 func (g *Gateway) divideLimits() {
-	s, n := g.settings.Load(), float64(g.fleet.Size())
-	n = max(n, 1)
-	g.retries.SetBurst(fleetLimitFraction * s.RetryBurst / n)
-	g.sampler.SetLimit(fleetLimitFraction * s.QuestionsPerSecond / n)
+	g.retries.SetBurst(g.allotment().Burst(g.settings.Load().RetryBurst, time.Now()))
+	g.sampler.UpdateLimits()
 	if set := g.mirror.Rules(); set != nil {
 		g.splitter.Retain(set)
 	}
 }
 
+// allotment returns the fleet for the division of its limits.
+func (g *Gateway) allotment() allotment.Fleet {
+	vms, local := g.fleet.Size()
+	return allotment.Fleet{VM: g.fleet.Self().Name, VMs: vms, LocalVMs: local}
+}
+
+// pollShare returns the number of polls that this VM may send to the upstream per second.
+func (g *Gateway) pollShare(u roster.Upstream) float64 {
+	domain := g.settings.Load().FailureDomain
+	near := g.roster.Count(u.Service, domain)
+	return g.allotment().Polls(g.settings.Load().QuestionsPerSecond, u.FailureDomain == domain, near, forwarder.SubsetSize)
+}
+
 // connectionShare returns this VM's share of the connections to each upstream of the service.
 func (g *Gateway) connectionShare(service string) int {
 	set := g.mirror.Rules()
 	if set == nil {
 		return 0
 	}
-	total := set.Services[service].Connections
-	return max(int(fleetLimitFraction*float64(total)/float64(max(g.fleet.Size(), 1))), minConnections)
+	return g.allotment().Connections(set.Services[service].Connections)
 }
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -37,7 +37,7 @@
 	// The list of a fleet that starts is incomplete.
 	size := g.fleet.StoredSize()
 	if time.Since(g.start) > settleTime {
-		size = g.fleet.Size()
+		size, _ = g.fleet.Size()
 	}
 	return topology.New(g.fleet.Self(), relays, size)
 }
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -31,10 +31,25 @@
 	RetryRatio, RetryBurst float64
 	// QuestionsPerSecond bounds the polls that the fleet sends to each upstream per second.
 	QuestionsPerSecond float64
+	// RulesDelay is the time within which a change of the rules is in force.
+	RulesDelay time.Duration
+	// Memory is the memory that the process may use, in MiB.
+	Memory int
+	// BodyMemory bounds the bodies of requests and answers that are held, in MiB; 0 stands for a quarter of Memory.
+	BodyMemory int
 	// LogLevel is the lowest level that is logged.
 	LogLevel logrus.Level
 }
 
+// BodyBytes returns the bound in bytes on the bodies that are held.
+func (s *Settings) BodyBytes() int64 {
+	const defaultShare = 4
+	if s.BodyMemory > 0 {
+		return int64(s.BodyMemory) << 20
+	}
+	return int64(s.Memory) << 20 / defaultShare
+}
+
 // ParseSettings reads the text of a settings file with the given name. If the text is invalid, the error holds all findings
 // (finding.Of), each with file name, line and column.
 func ParseSettings(name string, text []byte) (*Settings, error) {
@@ -64,6 +79,11 @@
 		QuestionsPerSecond: document.Get(t, "questions-per-second", document.Setting[float64]{
 			Optional: true, Default: 10, Check: document.Range(0.0, 1e6),
 		}),
+		RulesDelay: document.Get(t, "rules-delay", document.Setting[time.Duration]{
+			Optional: true, Default: 2 * time.Second, Check: document.Range(100*time.Millisecond, time.Hour),
+		}),
+		Memory:     document.Get(t, "memory", document.Setting[int]{Optional: true, Default: 256, Check: document.Range(32, 1<<20)}),
+		BodyMemory: document.Get(t, "body-memory", document.Setting[int]{Optional: true, Check: document.Range(0, 1<<20)}),
 	}
 	level := document.Get(t, "log-level", document.Setting[string]{Optional: true, Default: "info", Check: checkLogLevel})
 	t.CheckUnknown()
--- a/ingress/config.go
+++ b/ingress/config.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/fulmarhitch/fulmarhitch/buffer"
 	"github.com/fulmarhitch/fulmarhitch/forwarder"
 	"github.com/fulmarhitch/fulmarhitch/ruleset"
 	"github.com/fulmarhitch/fulmarhitch/telemetry"
@@ -32,6 +33,10 @@
 	Rules func() *ruleset.Set
 	// RulesAge returns the time since the rules were last confirmed.
 	RulesAge func() time.Duration
+	// MaxRulesAge is the age of the rules up to which the VM answers that there is no rule for a request.
+	MaxRulesAge time.Duration
+	// Bodies is the budget for the bodies of requests and answers.
+	Bodies *buffer.Budget
 	// Pick returns the service for the rule's next request.
 	Pick    func(*ruleset.Rule) string
 	Metrics *telemetry.Metrics
--- a/ingress/handle.go
+++ b/ingress/handle.go
@@ -1,7 +1,7 @@
 package ingress
 
 import (
-	"bytes"
+	"context"
 	"io"
 	"log"
 	"math/rand/v2"
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/fulmarhitch/fulmarhitch/buffer"
 	"github.com/fulmarhitch/fulmarhitch/forwarder"
 	"github.com/fulmarhitch/fulmarhitch/outcome"
 	"github.com/fulmarhitch/fulmarhitch/request"
@@ -58,7 +59,7 @@
 	}
 	job, resp := s.admit(w, r, arrived)
 	if job.Request != nil {
-		defer s.buffered.Add(-int64(len(job.Request.Body)))
+		defer s.config.Bodies.Take(int64(len(job.Request.Body))).Close()
 	}
 	if resp != nil {
 		s.refuse(w, r, resp)
@@ -89,6 +90,9 @@
 		return noJob, &errorResponse{status: http.StatusRequestHeaderFieldsTooLarge, text: "headers exceed " + strconv.FormatInt(n, 10) + " bytes"}
 	}
 	rule := set.Find(r.Host, r.URL.EscapedPath())
+	if rule == nil && s.config.RulesAge() > s.config.MaxRulesAge {
+		return noJob, &errorResponse{http.StatusServiceUnavailable, "not-ready: no rule for this host and path, and newer rules may exist", retryAfterUnready}
+	}
 	if rule == nil {
 		return noJob, &errorResponse{status: http.StatusNotFound, text: "no rule for host " + strconv.Quote(r.Host) + " and this path"}
 	}
@@ -130,7 +134,7 @@
 
 // readBody reads the whole body within the limits.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request, set *ruleset.Set, deadline time.Time) ([]byte, *errorResponse) {
-	limit := int64(maxBufferedBytes)
+	limit := int64(maxBodyBytes)
 	if n := set.Limits.BodyBytes; n > 0 {
 		limit = min(limit, n)
 	}
@@ -145,26 +149,23 @@
 	if err := control.SetReadDeadline(deadline); err != nil {
 		s.config.Log.WithError(err).Warn("failed to set the read deadline for a request body")
 	}
-	var b bytes.Buffer
-	if r.ContentLength > 0 {
-		b.Grow(int(r.ContentLength) + bytes.MinRead)
-	}
-	_, err := b.ReadFrom(http.MaxBytesReader(w, r.Body, limit))
-	if err != nil {
-		var large *http.MaxBytesError
-		if errors.As(err, &large) {
-			return nil, &errorResponse{status: http.StatusRequestEntityTooLarge, text: "body exceeds " + strconv.FormatInt(limit, 10) + " bytes"}
-		}
+	ctx, cancel := context.WithDeadline(r.Context(), deadline)
+	defer cancel()
+	hold := s.config.Bodies.Open(r.Header.Get(s.config.Dialect.RequestID), func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
+	defer hold.Close()
+	body, err := buffer.Read(ctx, r.Body, limit, hold)
+	switch {
+	case errors.Is(err, buffer.ErrTooLarge):
+		return nil, &errorResponse{status: http.StatusRequestEntityTooLarge, text: "body exceeds " + strconv.FormatInt(limit, 10) + " bytes"}
+	case errors.Is(err, buffer.ErrEvicted) || hold.IsEvicted():
+		return nil, &errorResponse{http.StatusServiceUnavailable, "too-large: no room for the body", retryAfterUnready}
+	case err != nil:
 		return nil, &errorResponse{status: http.StatusBadRequest, text: "body: " + err.Error()}
 	}
 	if err := control.SetReadDeadline(time.Time{}); err != nil {
 		s.config.Log.WithError(err).Warn("failed to clear the read deadline after a request body")
 	}
-	if s.buffered.Add(int64(b.Len())) > maxBufferedBytes {
-		s.buffered.Add(-int64(b.Len()))
-		return nil, &errorResponse{http.StatusServiceUnavailable, "too-large: no room for the body", retryAfterUnready}
-	}
-	return b.Bytes(), nil
+	return body, nil
 }
 
 // headerSize returns the approximate size of the request line and the headers in bytes.
@@ -191,6 +192,7 @@
 			// A nil entry keeps the HTTP server from detecting the content type.
 			header["Content-Type"] = nil
 		}
+		defer s.config.Bodies.Take(int64(len(out.Body))).Close()
 		w.WriteHeader(out.Status)
 		// An error means that the caller disconnected, which also cancels the request's context.
 		_, _ = w.Write(out.Body)
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -20,8 +20,8 @@
 	idleSlack = 2 * time.Second
 	// sweepInterval is the time between two checks of the idle connections.
 	sweepInterval = time.Second
-	// maxBufferedBytes bounds the total size of the request bodies held in memory at the same time.
-	maxBufferedBytes = 64 << 20
+	// maxBodyBytes bounds the body of a request for which the rules state no limit.
+	maxBodyBytes = 64 << 20
 )
 
 // Server serves callers. It is a kernel service.
@@ -33,8 +33,6 @@
 	draining, refusing atomic.Bool
 	// inProgress is the number of requests in progress.
 	inProgress atomic.Int64
-	// buffered is the total size of the request bodies held in memory, in bytes.
-	buffered atomic.Int64
 	// lastArrival is the time at which the latest request arrived, in ns since start.
 	lastArrival atomic.Int64
 	start       time.Time
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/fulmarhitch/fulmarhitch/buffer"
 	"github.com/fulmarhitch/fulmarhitch/forwarder"
 	"github.com/fulmarhitch/fulmarhitch/ingress"
 	"github.com/fulmarhitch/fulmarhitch/outcome"
@@ -19,6 +20,9 @@
 	"github.com/fulmarhitch/fulmarhitch/telemetry"
 )
 
+// maxBodies is the budget for bodies in bytes.
+const maxBodies = 1 << 20
+
 // fixedForwarder returns the same outcome for each request.
 type fixedForwarder struct{ out outcome.Outcome }
 
@@ -28,6 +32,11 @@
 
 // startServer starts a server with one rule and returns it with its address.
 func startServer(t *testing.T, out outcome.Outcome, idle time.Duration) (*ingress.Server, string) {
+	return startServerAt(t, out, idle, 0)
+}
+
+// startServerAt is like startServer with rules of the age.
+func startServerAt(t *testing.T, out outcome.Outcome, idle, rulesAge time.Duration) (*ingress.Server, string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -39,10 +48,12 @@
 		ruleset.Limits{IdleTimeout: idle})
 	s := ingress.New(l, ingress.Config{
 		Dialect: ingress.Dialect{RequestID: "Id", Deadline: "Deadline"}, Forwarder: fixedForwarder{out},
-		Rules: func() *ruleset.Set { return set }, RulesAge: func() time.Duration { return 0 },
+		Rules: func() *ruleset.Set { return set }, RulesAge: func() time.Duration { return rulesAge },
+		MaxRulesAge: 2 * time.Second, Bodies: buffer.New(maxBodies, func(string, int64) {}),
 		Pick: func(r *ruleset.Rule) string { return r.Parts[0].Service }, Log: logrus.NewEntry(log),
 		Metrics: telemetry.New(telemetry.Sources{
 			RulesVersion: zero, StoreAge: zero, Upstreams: zero, VMs: zero, Polls: zero, LogDropped: zero,
+			BodyBytes: zero, Evictions: zero,
 		}),
 	})
 	_ = s.Start(context.Background())
@@ -112,3 +123,53 @@
 		So(err, ShouldNotBeNil)
 	})
 }
+
+// TestUnknownRule guards against a final refusal of a request for which newer rules, which this VM may have missed, have a
+// rule.
+func TestUnknownRule(t *testing.T) {
+	for name, test := range map[string]struct {
+		age  time.Duration
+		want int
+	}{
+		"rules just confirmed": {0, http.StatusNotFound},
+		"rules may be old":     {3 * time.Second, http.StatusServiceUnavailable},
+	} {
+		Convey("Given a request without a rule and "+name, t, func() {
+			s, address := startServerAt(t, outcome.Answered{Status: http.StatusOK}, 0, test.age)
+			defer func() { _ = s.Stop(context.Background()) }()
+			req, err := http.NewRequest(http.MethodGet, "http://"+address+"/x", nil)
+			So(err, ShouldBeNil)
+			req.Host = "other"
+			req.Header.Set("Id", "1")
+			resp, err := http.DefaultTransport.RoundTrip(req)
+			So(err, ShouldBeNil)
+			_ = resp.Body.Close()
+			So(resp.StatusCode, ShouldEqual, test.want)
+			So(resp.Header.Get("Retry-After") != "", ShouldEqual, test.want == http.StatusServiceUnavailable)
+		})
+	}
+}
+
+// TestEndlessBody guards against a request body without an end that takes more memory than there is.
+func TestEndlessBody(t *testing.T) {
+	Convey("Given a request whose body exceeds the memory for bodies", t, func() {
+		s, address := startServer(t, outcome.Answered{Status: http.StatusOK}, 0)
+		defer func() { _ = s.Stop(context.Background()) }()
+		req, err := http.NewRequest(http.MethodPost, "http://"+address+"/x", io.LimitReader(zeros{}, 4*maxBodies))
+		So(err, ShouldBeNil)
+		req.Host = "h"
+		req.Header.Set("Id", "1")
+		resp, err := http.DefaultTransport.RoundTrip(req)
+		So(err, ShouldBeNil)
+		_ = resp.Body.Close()
+		So(resp.StatusCode, ShouldEqual, http.StatusServiceUnavailable)
+	})
+}
+
+// zeros is an endless sequence of zero bytes.
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
--- a/relay/peer.go
+++ b/relay/peer.go
@@ -24,6 +24,8 @@
 	idleTimeout = 10 * time.Second
 	// maxWait is the longest wait that a follower may request.
 	maxWait = 10 * time.Second
+	// maxMessage bounds a message in bytes. Ten thousand entries compress to less than 2 MB.
+	maxMessage = 16 << 20
 	// snapshotWait is how long a peer without entries waits for them before it answers.
 	snapshotWait = 400 * time.Millisecond
 )
@@ -111,7 +113,7 @@
 		}
 		list := vms.Changes(req.Msg.ListOrigin, req.Msg.ListVersion)
 		return connect.NewResponse(encode(b, block, fresh, !known, list)), nil
-	}, connect.WithCodec(codec{}), connect.WithCompression("gzip", nil, nil))
+	}, connect.WithCodec(codec{}), connect.WithCompression("gzip", nil, nil), connect.WithReadMaxBytes(maxMessage))
 }
 
 // errNoEntries is the error for a follower of a VM that has no entries yet.
@@ -151,6 +153,7 @@
 func NewPeer(c *Client, address string) *Peer {
 	return &Peer{client: c, address: address, call: connect.NewClient[wireFollow, wireBatch](
 		c.http, "http://"+address+procedure, connect.WithCodec(codec{}), connect.WithAcceptCompression("gzip", nil, nil),
+		connect.WithReadMaxBytes(maxMessage),
 	)}
 }
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -30,6 +30,13 @@
 	mu      sync.RWMutex
 	entries *grace.Set[Upstream]
 	usable  map[string][]Upstream
+	// counts holds the numbers of usable upstreams.
+	counts map[place]int
+}
+
+// place is a service in a failure domain.
+type place struct {
+	service, failureDomain string
 }
 
 // New returns an empty roster.
@@ -99,6 +106,13 @@
 	return r.usable[service]
 }
 
+// Count returns the number of upstreams of the service in the failure domain that take requests.
+func (r *Roster) Count(service, failureDomain string) int {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.counts[place{service, failureDomain}]
+}
+
 // IsUsable reports whether the same incarnation of the upstream still takes requests.
 func (r *Roster) IsUsable(u Upstream) bool {
 	r.mu.RLock()
@@ -135,14 +149,15 @@
 
 // rebuild lists the usable upstreams by service; the caller holds mu.
 func (r *Roster) rebuild() {
-	usable := make(map[string][]Upstream)
+	usable, counts := make(map[string][]Upstream), make(map[place]int)
 	for _, u := range r.entries.All {
 		if !u.Draining {
 			usable[u.Service] = append(usable[u.Service], u)
+			counts[place{u.Service, u.FailureDomain}]++
 		}
 	}
 	for _, list := range usable {
 		slices.SortFunc(list, func(a, b Upstream) int { return strings.Compare(a.ID, b.ID) })
 	}
-	r.usable = usable
+	r.usable, r.counts = usable, counts
 }
--- a/sampler/sampler.go
+++ b/sampler/sampler.go
@@ -35,27 +35,28 @@
 type Sampler struct {
 	poller     Poller
 	conditions *condition.Table
+	// limit returns the number of polls that this VM may send to the upstream per second.
+	limit func(u roster.Upstream) float64
 
-	mu sync.Mutex
-	// perSecond is the limit of polls that this VM sends to each upstream per second.
-	perSecond float64
-	limiters  map[string]*rate.Limiter
-	sent      uint64
+	mu       sync.Mutex
+	limiters map[string]*limiter
+	sent     uint64
 }
 
-// New returns a sampler that polls each upstream at most once until SetLimit is called.
-func New(poller Poller, conditions *condition.Table) *Sampler {
-	return &Sampler{poller: poller, conditions: conditions, limiters: make(map[string]*rate.Limiter)}
+// limiter limits the polls of one upstream.
+type limiter struct {
+	*rate.Limiter
+	upstream roster.Upstream
 }
 
-// SetLimit sets the number of polls that this VM may send to each upstream per second.
-func (s *Sampler) SetLimit(perSecond float64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.perSecond != perSecond {
-		s.perSecond = perSecond
-		clear(s.limiters)
-	}
+// New returns a sampler. The function limit returns the number of polls that this VM may send to the upstream per second.
+func New(poller Poller, conditions *condition.Table, limit func(u roster.Upstream) float64) *Sampler {
+	return &Sampler{poller: poller, conditions: conditions, limit: limit, limiters: make(map[string]*limiter)}
+}
+
+// burst returns the number of polls that may be sent at once under a limit per second.
+func burst(perSecond float64) int {
+	return max(int(perSecond*burstSeconds), 1)
 }
 
 // Polls returns the number of polls sent.
@@ -73,7 +74,7 @@
 	now := time.Now()
 	for _, u := range ups {
 		c := s.conditions.Get(u.ID, now)
-		if c.Unreachable || c.HasLoad && c.Age < maxFreshAge || !s.allow(u.ID) {
+		if c.Unreachable || c.HasLoad && c.Age < maxFreshAge || !s.allow(u) {
 			continue
 		}
 		pending++
@@ -126,13 +127,14 @@
 }
 
 // allow reports whether the upstream's limit permits another poll, and counts that poll.
-func (s *Sampler) allow(id string) bool {
+func (s *Sampler) allow(u roster.Upstream) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := s.limiters[id]
+	l := s.limiters[u.ID]
 	if l == nil {
-		l = rate.NewLimiter(rate.Limit(s.perSecond), max(int(s.perSecond*burstSeconds), 1))
-		s.limiters[id] = l
+		perSecond := s.limit(u)
+		l = &limiter{rate.NewLimiter(rate.Limit(perSecond), burst(perSecond)), u}
+		s.limiters[u.ID] = l
 	}
 	if !l.Allow() {
 		return false
@@ -141,6 +143,19 @@
 	return true
 }
 
+// UpdateLimits applies changed limits; polls that have been saved up are kept.
+func (s *Sampler) UpdateLimits() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.limiters {
+		perSecond := s.limit(l.upstream)
+		if float64(l.Limit()) != perSecond {
+			l.SetLimit(rate.Limit(perSecond))
+			l.SetBurst(burst(perSecond))
+		}
+	}
+}
+
 // Retain deletes the limits of upstreams that are no longer known.
 func (s *Sampler) Retain(isKnown func(id string) bool) {
 	s.mu.Lock()
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -25,7 +25,7 @@
 
 // Sources holds functions that return current values; they are called on each scrape.
 type Sources struct {
-	RulesVersion, StoreAge, Upstreams, VMs, Polls, LogDropped func() float64
+	RulesVersion, StoreAge, Upstreams, VMs, Polls, LogDropped, BodyBytes, Evictions func() float64
 }
 
 // Metrics are the metrics of one process. Its methods are safe for concurrent use.
@@ -56,6 +56,8 @@
 	m.registerFunc("upstreams", "Known upstreams.", s.Upstreams)
 	m.registerFunc("vms", "Known VMs.", s.VMs)
 	m.registerFunc("questions_total", "Questions to health endpoints.", s.Polls)
+	m.registerFunc("body_bytes", "Memory held by bodies of requests and answers.", s.BodyBytes)
+	m.registerFunc("body_evictions_total", "Unfinished bodies that were cut off because memory was used up.", s.Evictions)
 	m.registerFunc("log_dropped_total", "Log lines lost because standard output was blocked.", s.LogDropped)
 	return m
 }
