Sort the upstreams once for a batch of changes

The lists are built when they are next used. The test counts allocations of a change (it fails on the earlier code, which allocates per service and upstream).

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -29,11 +29,12 @@
 type Fleet struct {
 	self VM
 
-	mu sync.RWMutex
+	mu sync.Mutex
 	// registered holds the VMs that are registered in the store, and present those that are listed by the VMs themselves.
 	registered *grace.Set[VM]
 	present    map[string]VM
-	list       []VM
+	// list and the two fields after it follow from the others. list is nil after a change, until it is used.
+	list []VM
 	// local is the number of VMs of list in this VM's failure domain.
 	local   int
 	relays  []VM
@@ -45,9 +46,7 @@
 
 // New returns a fleet that has only this process's VM.
 func New(self VM) *Fleet {
-	f := &Fleet{self: self, registered: grace.New[VM]()}
-	f.rebuild()
-	return f
+	return &Fleet{self: self, registered: grace.New[VM]()}
 }
 
 // Self returns this process's VM.
@@ -61,7 +60,7 @@
 	defer f.mu.Unlock()
 	if f.serving != serving {
 		f.serving = serving
-		f.rebuild()
+		f.list = nil
 	}
 }
 
@@ -70,7 +69,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.leaving = true
-	f.rebuild()
+	f.list = nil
 }
 
 // SetPresent replaces the VMs that are listed by the VMs themselves.
@@ -82,7 +81,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.present = present
-	f.rebuild()
+	f.list = nil
 }
 
 // SetStoredSize records the size of the fleet that the store states.
@@ -94,16 +93,17 @@
 
 // StoredSize returns the size of the fleet that the store states, or 0 if it isn't known.
 func (f *Fleet) StoredSize() int {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	return f.storedSize
 }
 
 // Size returns the number of VMs, and of those in this VM's failure domain. Until the VMs have listed themselves, the number
 // is the size that the store states if that is larger.
 func (f *Fleet) Size() (vms, local int) {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rebuild()
 	if len(f.present) == 0 {
 		return max(len(f.list), f.storedSize), max(f.local, f.storedSize)
 	}
@@ -112,8 +112,8 @@
 
 // IsListed reports whether the store lists the present incarnation of this VM.
 func (f *Fleet) IsListed() bool {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	vm, _, listed := f.registered.Get(f.self.Name)
 	return listed && vm.Incarnation == f.self.Incarnation
 }
@@ -134,7 +134,7 @@
 		return false
 	}
 	f.registered.Put(vm.Name, vm)
-	f.rebuild()
+	f.list = nil
 	return true
 }
 
@@ -143,7 +143,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	known = f.registered.Remove(name, false, now)
-	f.rebuild()
+	f.list = nil
 	return known
 }
 
@@ -157,7 +157,7 @@
 		f.registered.Put(vm.Name, vm)
 	}
 	f.registered.Retain(listed, func(VM) bool { return false }, now)
-	f.rebuild()
+	f.list = nil
 }
 
 // Expire drops the removed VMs whose grace period has ended.
@@ -165,34 +165,39 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.registered.Expire(now) > 0 {
-		f.rebuild()
+		f.list = nil
 	}
 }
 
 // List returns the VMs by name, including this VM unless it leaves. The caller must not change the slice.
 func (f *Fleet) List() []VM {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rebuild()
 	return f.list
 }
 
 // Relays returns the VMs that are registered in the store in no particular order. The caller must not change the slice.
 func (f *Fleet) Relays() []VM {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rebuild()
 	return f.relays
 }
 
 // IsRelay reports whether the store lists this VM or an earlier incarnation of it.
 func (f *Fleet) IsRelay() bool {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	_, found, _ := f.registered.Get(f.self.Name)
 	return found
 }
 
-// rebuild sets list and relays; the caller holds mu, except in New.
+// rebuild sets list, local and relays unless they are valid; the caller holds mu.
 func (f *Fleet) rebuild() {
+	if f.list != nil {
+		return
+	}
 	vms := make(map[string]VM, len(f.present)+1)
 	var relays []VM
 	for name, vm := range f.registered.All {
--- a/registration/registration.go
+++ b/registration/registration.go
@@ -21,6 +21,8 @@
 	renewInterval = leaseTTL / 2
 	// retryInterval is the time after which a failed renewal is repeated.
 	retryInterval = 400 * time.Millisecond
+	// readyCheckInterval is the time between two checks whether the VM should be registered.
+	readyCheckInterval = 200 * time.Millisecond
 	// listingDelay is the time after a registration in which this VM's view of the store catches up with it.
 	listingDelay = 2500 * time.Millisecond
 	// callTimeout bounds a call.
@@ -77,7 +79,7 @@
 	pause := backoff.New(minPause, maxPause)
 	for ctx.Err() == nil {
 		if !r.ready() {
-			backoff.Sleep(ctx, minPause)
+			backoff.Sleep(ctx, readyCheckInterval)
 			continue
 		}
 		lease, err := r.register(ctx)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -29,8 +29,9 @@
 type Roster struct {
 	mu      sync.RWMutex
 	entries *grace.Set[Upstream]
-	usable  map[string][]Upstream
-	// counts holds the numbers of usable upstreams.
+	// usable holds the usable upstreams by service, and counts their numbers. Both are nil after a change, until they are
+	// used: a batch of hundreds of changes then costs one sort.
+	usable map[string][]Upstream
 	counts map[place]int
 }
 
@@ -41,7 +42,7 @@
 
 // New returns an empty roster.
 func New() *Roster {
-	return &Roster{entries: grace.New[Upstream](), usable: make(map[string][]Upstream)}
+	return &Roster{entries: grace.New[Upstream]()}
 }
 
 // BeginGrace begins the grace period after an outage of the store.
@@ -55,11 +56,7 @@
 func (r *Roster) Put(u Upstream) (changed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.put(u) {
-		return false
-	}
-	r.rebuild()
-	return true
+	return r.put(u)
 }
 
 // Remove removes an upstream, at once or at the end of the grace period, and reports whether it was known.
@@ -68,11 +65,8 @@
 	defer r.mu.Unlock()
 	// A draining upstream has announced its end and gets no grace period.
 	u, _, _ := r.entries.Get(id)
-	known = r.entries.Remove(id, u.Draining, now)
-	if known {
-		r.rebuild()
-	}
-	return known
+	r.usable = nil
+	return r.entries.Remove(id, u.Draining, now)
 }
 
 // Replace applies a whole list; upstreams that it lacks are removed.
@@ -85,7 +79,7 @@
 		r.put(u)
 	}
 	r.entries.Retain(listed, func(u Upstream) bool { return u.Draining }, now)
-	r.rebuild()
+	r.usable = nil
 }
 
 // Expire drops the removed upstreams whose grace period has ended and returns their number.
@@ -94,23 +88,21 @@
 	defer r.mu.Unlock()
 	n := r.entries.Expire(now)
 	if n > 0 {
-		r.rebuild()
+		r.usable = nil
 	}
 	return n
 }
 
 // Usable returns the upstreams of the service that take requests. The caller must not change the slice.
 func (r *Roster) Usable(service string) []Upstream {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	return r.usable[service]
+	usable, _ := r.lists()
+	return usable[service]
 }
 
 // Count returns the number of upstreams of the service in the failure domain that take requests.
 func (r *Roster) Count(service, failureDomain string) int {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	return r.counts[place{service, failureDomain}]
+	_, counts := r.lists()
+	return counts[place{service, failureDomain}]
 }
 
 // IsUsable reports whether the same incarnation of the upstream still takes requests.
@@ -144,9 +136,26 @@
 		return false
 	}
 	r.entries.Put(u.ID, u)
+	r.usable = nil
 	return true
 }
 
+// lists returns the usable upstreams by service and their numbers.
+func (r *Roster) lists() (usable map[string][]Upstream, counts map[place]int) {
+	r.mu.RLock()
+	usable, counts = r.usable, r.counts
+	r.mu.RUnlock()
+	if usable != nil {
+		return usable, counts
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.usable == nil {
+		r.rebuild()
+	}
+	return r.usable, r.counts
+}
+
 // rebuild lists the usable upstreams by service; the caller holds mu.
 func (r *Roster) rebuild() {
 	usable, counts := make(map[string][]Upstream), make(map[place]int)
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -1,6 +1,7 @@
 package roster_test
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -77,3 +78,24 @@
 		So(r.IsUsable(second), ShouldBeTrue)
 	})
 }
+
+// TestManyChanges guards against a sort of all upstreams for each change: a fleet that starts registers a thousand within a
+// second, and each VM applies them all.
+func TestManyChanges(t *testing.T) {
+	Convey("Given a thousand upstreams", t, func() {
+		r := roster.New()
+		for i := range 1000 {
+			r.Put(roster.Upstream{ID: strconv.Itoa(i), Service: "s"})
+		}
+		started := int64(0)
+		perChange := testing.AllocsPerRun(100, func() {
+			started++
+			r.Put(roster.Upstream{ID: "7", Service: "s", StartedMS: started})
+		})
+		So(perChange, ShouldBeLessThan, 5)
+		So(r.Usable("s"), ShouldHaveLength, 1000)
+		r.Remove("8", time.Unix(0, 0))
+		So(r.Usable("s"), ShouldHaveLength, 999)
+		So(r.Count("s", ""), ShouldEqual, 999)
+	})
+}
