--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,8 +43,8 @@
 	mirror.Source
 	registration.Store
 	crash.Store
-	// Discover returns the entries that VMs wrote; they may be seconds old.
-	Discover(ctx context.Context) ([]mirror.Entry, error)
+	// Discover returns the entries that VMs wrote; they may be seconds old unless isFresh is set.
+	Discover(ctx context.Context, isFresh bool) ([]mirror.Entry, error)
 	// WriteSize stores the size of the fleet.
 	WriteSize(ctx context.Context, vms int) error
 }
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -23,6 +23,8 @@
 	sizeInterval = 5 * time.Second
 	// sizeTimeout bounds an update.
 	sizeTimeout = 500 * time.Millisecond
+	// remoteDelay is the time after the start in which a VM waits for a relay of its own failure domain.
+	remoteDelay = 2500 * time.Millisecond
 	// standbyDelay is the time that the standby of a starting fleet leaves the first relay to read the store.
 	standbyDelay = 400 * time.Millisecond
 )
@@ -46,6 +48,9 @@
 func (g *Gateway) sources() mirror.Sources {
 	p := g.place()
 	s := mirror.Sources{Tier: p.Tier}
+	if p.LacksRelay && time.Since(g.start) < remoteDelay && !g.isElected() {
+		return s
+	}
 	for _, vm := range p.Sources {
 		if vm.PeerAddress != "" {
 			s.Peers = append(s.Peers, mirror.Peer{Name: vm.Name, Source: relay.NewPeer(g.peerClient, vm.PeerAddress)})
@@ -55,8 +60,8 @@
 }
 
 // discover looks for relays in the store.
-func (g *Gateway) discover(ctx context.Context) error {
-	entries, err := g.config.Store.Discover(ctx)
+func (g *Gateway) discover(ctx context.Context, isFresh bool) error {
+	entries, err := g.config.Store.Discover(ctx, isFresh)
 	if err != nil {
 		return err
 	}
@@ -109,10 +114,12 @@
 		return true
 	case len(g.fleet.Relays()) == 0:
 		return g.isElected() || topology.IsSmall(g.fleet.StoredSize())
+	case time.Since(g.start) < settleTime:
+		return g.isElected() && g.place().LacksRelay
 	}
 	// The watcher stores the size once it knows the fleet.
 	size := g.fleet.StoredSize()
-	if size == 0 || time.Since(g.start) < settleTime {
+	if size == 0 {
 		return false
 	}
 	list := g.fleet.List()
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -48,8 +48,8 @@
 	joinPause   = 50 * time.Millisecond
 	joinTimeout = 2 * time.Second
 	// minDiscoveryPause and maxDiscoveryPause bound the backoff between two searches for relays.
-	minDiscoveryPause = 200 * time.Millisecond
-	maxDiscoveryPause = 1600 * time.Millisecond
+	minDiscoveryPause = 800 * time.Millisecond
+	maxDiscoveryPause = 3200 * time.Millisecond
 	// discoveryTimeout bounds a search.
 	discoveryTimeout = 500 * time.Millisecond
 	// minPause and maxPause bound the backoff after a failed call.
@@ -66,8 +66,8 @@
 	Decode func(e Entry, now time.Time) []Change
 	// Sources returns the VMs to follow in place of the store.
 	Sources func() Sources
-	// Discover looks for relays before the first entries are known.
-	Discover func(ctx context.Context) error
+	// Discover looks for relays before the first entries are known; what it finds may be seconds old unless isFresh is set.
+	Discover func(ctx context.Context, isFresh bool) error
 	// MayReadStore reports whether this VM may read the first entries from the store if no peer provides them. All VMs of
 	// a large fleet must not do so at once.
 	MayReadStore func() bool
@@ -150,10 +150,10 @@
 // join gets the first entries from a peer, or from the store, and returns their revision. It returns false once ctx is done.
 func (m *Mirror) join(ctx context.Context) (revision uint64, ok bool) {
 	pause := backoff.New(minDiscoveryPause, maxDiscoveryPause)
-	discoverAt := time.Now()
+	discoverAt, lookedTwice := time.Now(), false
 	for ctx.Err() == nil {
 		if !time.Now().Before(discoverAt) {
-			m.discover(ctx)
+			m.discover(ctx, false)
 			discoverAt = time.Now().Add(pause.Next())
 		}
 		for _, p := range m.config.Sources().Peers {
@@ -161,6 +161,12 @@
 				return b.Revision, true
 			}
 		}
+		if !lookedTwice && len(m.config.Sources().Peers) == 0 && m.config.MayReadStore() {
+			// Another VM may have become a relay a short time ago, and following it is much cheaper.
+			lookedTwice = true
+			m.discover(ctx, true)
+			continue
+		}
 		if ctx.Err() == nil && m.config.MayReadStore() {
 			m.lastStoreCall = time.Now()
 			b, err := m.fetch(ctx, step{}, 0, false)
@@ -176,10 +182,10 @@
 }
 
 // discover looks for relays.
-func (m *Mirror) discover(ctx context.Context) {
+func (m *Mirror) discover(ctx context.Context, isFresh bool) {
 	callCtx, cancel := context.WithTimeout(ctx, discoveryTimeout)
 	defer cancel()
-	if err := m.config.Discover(callCtx); err != nil && ctx.Err() == nil {
+	if err := m.config.Discover(callCtx, isFresh); err != nil && ctx.Err() == nil {
 		m.config.Log.WithError(err).Debug("cannot look for relays in the store")
 	}
 }
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -98,7 +98,7 @@
 	log.SetOutput(io.Discard)
 	return mirror.New(mirror.Config{
 		Store: store, Decode: decode, Sources: func() mirror.Sources { return mirror.Sources{Tier: tier, Peers: peers} },
-		Discover: func(context.Context) error { return nil }, MayReadStore: func() bool { return tier != topology.Indirect },
+		Discover: func(context.Context, bool) error { return nil }, MayReadStore: func() bool { return tier != topology.Indirect },
 		Relay: r, Roster: roster.New(),
 		Fleet: fleet.New(fleet.VM{}), OnChange: func() {}, Log: logrus.NewEntry(log),
 	})
--- a/topology/place.go
+++ b/topology/place.go
@@ -44,6 +44,8 @@
 	Tier Tier
 	// Sources are the VMs to follow, the preferred one first; a watcher has none.
 	Sources []fleet.VM
+	// LacksRelay reports whether the failure domain has no relay, so that the sources are in other ones.
+	LacksRelay bool
 }
 
 // New returns the place of the VM self in a fleet with the relays and the number of VMs, which is 0 if it isn't known. The order of the relays depends on
@@ -67,7 +69,8 @@
 			near = append(near, vm)
 		}
 	}
-	if len(near) == 0 {
+	lacksRelay := len(near) == 0
+	if lacksRelay {
 		near = order
 	}
 	// The hash spreads the followers evenly over the relays.
@@ -81,7 +84,7 @@
 			sources = append(sources, vm)
 		}
 	}
-	return Place{Tier: Indirect, Sources: sources}
+	return Place{Tier: Indirect, Sources: sources, LacksRelay: lacksRelay}
 }
 
 // IsSmall reports whether a fleet of the size has only relays; the size is 0 if it isn't known.
