Avoid the last slot of upstreams, use other failure domains before it, hedge only overdue requests

Change: the cost of an upstream counts what a request delays those in progress; other failure domains are considered from 1.5 service times on and cost 0.4; a hedge waits until the first attempt is overdue (1.25 times its expected time) and is sent only if it is expected in time.

--- a/forwarder/choose.go
+++ b/forwarder/choose.go
@@ -24,8 +24,8 @@
 	// farPollWait bounds the wait for answers to polls of other failure domains, whose round trips take about 11 ms.
 	farPollWait = 25 * time.Millisecond
 	// acceptableCost is the cost, in usual service times, above which upstreams of other failure domains are considered
-	// too; above it, answers miss the target time of most rules.
-	acceptableCost = 2.2
+	// too. An upstream with its last slot free costs more.
+	acceptableCost = 1.5
 	// SubsetSize is the number of upstreams of a service in the failure domain that a VM uses. It is large enough to find
 	// one at normal speed while some have failed.
 	SubsetSize = 16
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -18,6 +18,9 @@
 	// hedgeShare is the share of a rule's target time after which an idempotent request is sent to a second upstream: late
 	// enough for most requests to have ended, early enough for the second attempt to end in time.
 	hedgeShare = 0.5
+	// overdueFactor is the multiple of its expected time after which an attempt is overdue. Before that, a hedge would mostly
+	// end after it.
+	overdueFactor = 1.25
 	// minHedgeDelay is the minimum delay of a hedge, for rules with short target times.
 	minHedgeDelay = 40 * time.Millisecond
 )
@@ -201,7 +204,9 @@
 	if !r.job.Rule.Idempotent || r.job.Rule.Target <= 0 {
 		return time.Until(r.job.Request.Deadline)
 	}
-	return max(time.Duration(hedgeShare*float64(r.job.Rule.Target)), minHedgeDelay) - time.Since(r.job.Arrived)
+	first := r.attempts[0]
+	overdue := first.Started + time.Duration(overdueFactor*first.expectedTime*float64(r.config.Times.Usual(r.job.Rule)))
+	return max(time.Duration(hedgeShare*float64(r.job.Rule.Target)), minHedgeDelay, overdue) - time.Since(r.job.Arrived)
 }
 
 // hedge sends the request to a second upstream with a free slot and an acceptable cost, which is expected to answer before
@@ -211,7 +216,12 @@
 		return
 	}
 	c := r.choose(true)
-	if c == nil || c.cost > acceptableCost || selection.FreeSlots(c.Candidate) == 0 || len(r.results) > 0 {
+	if c == nil || selection.FreeSlots(c.Candidate) == 0 || len(r.results) > 0 {
+		return
+	}
+	usual := r.config.Times.Usual(r.job.Rule)
+	expected := time.Since(r.job.Arrived) + time.Duration(c.expectedTime*float64(usual))
+	if expected > r.job.Rule.Target {
 		return
 	}
 	if r.config.Retries.Spend(r.job.Request.Service, true) {
--- a/selection/selection.go
+++ b/selection/selection.go
@@ -20,9 +20,12 @@
 	coldFactor = 2.0
 	// kneeShare is the share of busy slots above which an upstream slows down, by kneeFactor.
 	kneeShare  = 0.8
-	kneeFactor = 1.5
+	kneeFactor = 1.6
+	// crowdCost is the cost, in usual service times, for each request in progress that a further one slows down by taking
+	// the upstream above kneeShare. On average half of their work is left.
+	crowdCost = (kneeFactor - 1) / 2
 	// farCost is the cost of another failure domain in usual service times: a round trip and the price of the traffic.
-	farCost = 0.6
+	farCost = 0.4
 	// failureCost is the cost of a failed request in usual service times.
 	failureCost = 6.0
 	// unhealthyCost is the cost of a bad health answer in usual service times; such answers are sometimes wrong.
@@ -48,17 +51,25 @@
 	if now.Before(c.Upstream.WarmAt) {
 		slow *= coldFactor
 	}
-	if float64(busy+1) > kneeShare*float64(slots) {
+	if isCrowded(busy+1, slots) {
 		slow *= kneeFactor
 	}
 	wait := float64(max(busy-slots+1, 0)) / float64(slots)
 	return slow * (1 + wait)
 }
 
-// Cost returns the cost of a request at the candidate in usual service times: the expected time and penalties for failures,
-// another failure domain, bad health and unreachability.
+// isCrowded reports whether an upstream with that many busy slots is slowed down.
+func isCrowded(busy, slots int) bool {
+	return float64(busy) > kneeShare*float64(slots)
+}
+
+// Cost returns the cost of a request at the candidate in usual service times: the expected time, what it delays the requests
+// in progress there, and penalties for failures, another failure domain, bad health and unreachability.
 func Cost(c Candidate, now time.Time) float64 {
 	cost := ExpectedTime(c, now) + c.Condition.FailureRate*failureCost
+	if slots, busy := occupancy(c); busy < slots && !isCrowded(busy, slots) && isCrowded(busy+1, slots) {
+		cost += float64(busy) * crowdCost
+	}
 	if !c.Near {
 		cost += farCost
 	}
