--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -35,6 +35,8 @@
 	slowdown                float64
 	// shedRate is the probability of refusing a request.
 	shedRate float64
+	// knee is the slowdown of requests that begin while more than four fifths of the slots are taken, or 0.
+	knee float64
 	// loseAnswers breaks the connection after each request has run.
 	loseAnswers bool
 }
@@ -91,6 +93,9 @@
 	u.waiting--
 	u.running++
 	work := time.Duration(float64(time.Millisecond) * float64(len(r.Body)) * u.slowdown)
+	if u.knee > 0 && 5*u.running > 4*u.slots {
+		work = time.Duration(float64(work) * u.knee)
+	}
 	loseAnswer := u.loseAnswers
 	s.mu.Unlock()
 	timer := time.NewTimer(work)
@@ -128,6 +133,17 @@
 // runLoad sends requests of both rules at the given rates per second for the duration and returns the tallies of their
 // outcomes.
 func runLoad(s *service, r *roster.Roster, duration time.Duration, urgentRate, plainRate int) map[*ruleset.Rule]*tally {
+	return runStreams(s, r, duration, stream{urgent, urgentRate, 76}, stream{plain, plainRate, 110})
+}
+
+// stream is a stream of requests of a rule, with its rate per second and its service time in ms.
+type stream struct {
+	rule       *ruleset.Rule
+	rate, work int
+}
+
+// runStreams sends the streams of requests for the duration and returns the tallies of their outcomes.
+func runStreams(s *service, r *roster.Roster, duration time.Duration, streams ...stream) map[*ruleset.Rule]*tally {
 	retries := forwarder.NewRetries(0.2)
 	retries.SetBurst(5)
 	f := forwarder.New(forwarder.Config{
@@ -149,20 +165,18 @@
 			tallies[rule].add(res.Outcome, time.Since(start), rule.Target)
 		})
 	}
-	stream := func(rule *ruleset.Rule, rate, work int) {
-		if rate == 0 {
-			return
+	for _, st := range streams {
+		if st.rate == 0 {
+			continue
 		}
 		wg.Go(func() {
-			interval := time.Second / time.Duration(rate)
+			interval := time.Second / time.Duration(st.rate)
 			for n := 0; time.Duration(n)*interval < duration; n++ {
-				send(rule, n, work)
+				send(st.rule, n, st.work)
 				time.Sleep(interval)
 			}
 		})
 	}
-	stream(urgent, urgentRate, 76)
-	stream(plain, plainRate, 110)
 	wg.Wait()
 	return tallies
 }
@@ -300,3 +314,29 @@
 		})
 	}
 }
+
+// TestCrowded guards against requests that crowd the upstreams of the VM's failure domain, which slow down when nearly full,
+// while those of another one, a few ms away, have free slots, and against hedges of requests that are only delayed by that:
+// two thirds of the near slots are needed, and the work takes two fifths of the target time.
+func TestCrowded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, r := newService(9, 3)
+		for id, u := range s.ups {
+			u.knee = 1.7
+			if id >= "u03" {
+				r.Put(roster.Upstream{ID: id, Service: "s", FailureDomain: "far", Slots: 3})
+			}
+		}
+		got := runStreams(s, r, 10*time.Second, stream{plain, 40, 160})[plain]
+		if got.inTimeShare() < 0.99 {
+			t.Errorf("%+v", *got)
+		}
+		resent := 0
+		for _, n := range s.arrivals {
+			resent += n - 1
+		}
+		if resent > got.sent/20 {
+			t.Errorf("%d hedges for %d requests", resent, got.sent)
+		}
+	})
+}
--- a/selection/selection_test.go
+++ b/selection/selection_test.go
@@ -45,6 +45,8 @@
 		"unknown before slow":            {func(c *selection.Candidate) { c.Condition.HasLoad = false }, slow},
 		"fresh normal before old normal": {unchanged, func(c *selection.Candidate) { c.Condition.Age = 300 * time.Millisecond }},
 		"old slow before fresh slow":     {func(c *selection.Candidate) { slow(c); c.Condition.Age = time.Second }, slow},
+		"far before the last near slot":  {far, func(c *selection.Candidate) { c.Condition.Load.Running = 2 }},
+		"a near slot of two before far":  {func(c *selection.Candidate) { c.Condition.Load.Running = 1 }, far},
 		"few own requests before many":   {unchanged, func(c *selection.Candidate) { c.Condition.OwnSinceReport = 2 }},
 	}
 	for name, test := range tests {
