--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -45,6 +45,8 @@
 	crash.Store
 	// Discover returns the entries that VMs wrote; they may be seconds old unless isFresh is set.
 	Discover(ctx context.Context, isFresh bool) ([]mirror.Entry, error)
+	// Calls returns the number of calls by purpose.
+	Calls() map[string]uint64
 	// WriteSize stores the size of the fleet.
 	WriteSize(ctx context.Context, vms int) error
 }
@@ -214,6 +216,7 @@
 		Upstreams:  func() float64 { return float64(g.roster.Len()) },
 		VMs:        func() float64 { return float64(len(g.fleet.List())) },
 		Polls:      func() float64 { return float64(g.sampler.Polls()) },
+		StoreCalls: g.config.Store.Calls,
 		BodyBytes:  func() float64 { return float64(g.bodies.Used()) },
 		Evictions:  func() float64 { return float64(g.bodies.Evictions()) },
 		LogDropped: func() float64 { return float64(g.logWriter.Dropped()) },
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -53,7 +53,7 @@
 		Pick: func(r *ruleset.Rule) string { return r.Parts[0].Service }, Log: logrus.NewEntry(log),
 		Metrics: telemetry.New(telemetry.Sources{
 			RulesVersion: zero, StoreAge: zero, Upstreams: zero, VMs: zero, Polls: zero, LogDropped: zero,
-			BodyBytes: zero, Evictions: zero,
+			BodyBytes: zero, Evictions: zero, StoreCalls: func() map[string]uint64 { return nil },
 		}),
 	})
 	_ = s.Start(context.Background())
--- a/telemetry/doc.go
+++ b/telemetry/doc.go
@@ -6,6 +6,9 @@
 //	fulmarhitch_attempts_total{rule,end}                attempts by the way they ended
 //	fulmarhitch_hedges_total{rule}                      hedges: second attempts while the first was in progress
 //	fulmarhitch_questions_total                         polls of health endpoints
+//	fulmarhitch_store_calls_total{purpose}              calls of the store: search, read, watch, register, renew, release, death, size
+//	fulmarhitch_body_bytes                              memory held by bodies of requests and answers
+//	fulmarhitch_body_evictions_total                    unfinished bodies that were cut off because memory was used up
 //	fulmarhitch_rules_version                           version of the rules in force
 //	fulmarhitch_store_age_seconds                       time since the last contact with the store
 //	fulmarhitch_upstreams, fulmarhitch_vms              known upstreams and VMs
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -26,6 +26,8 @@
 // Sources holds functions that return current values; they are called on each scrape.
 type Sources struct {
 	RulesVersion, StoreAge, Upstreams, VMs, Polls, LogDropped, BodyBytes, Evictions func() float64
+	// StoreCalls returns the calls of the store by purpose.
+	StoreCalls func() map[string]uint64
 }
 
 // Metrics are the metrics of one process. Its methods are safe for concurrent use.
@@ -51,6 +53,7 @@
 	m.refusals = counter("refusals_total", "Requests that were not forwarded.", "status")
 	m.hedges = counter("hedges_total", "Second sends while the first was in progress.", "rule")
 	m.registry.MustRegister(m.durations, m.requests, m.attempts, m.refusals, m.hedges)
+	m.registry.MustRegister(storeCalls(s.StoreCalls))
 	m.registerFunc("rules_version", "Version of the rules in force.", s.RulesVersion)
 	m.registerFunc("store_age_seconds", "Time since the store was last heard.", s.StoreAge)
 	m.registerFunc("upstreams", "Known upstreams.", s.Upstreams)
@@ -62,6 +65,21 @@
 	return m
 }
 
+// storeCalls collects the numbers of calls of the store.
+type storeCalls func() map[string]uint64
+
+var storeCallsDesc = prometheus.NewDesc(namespace+"_store_calls_total", "Calls of the store by purpose.", []string{"purpose"}, nil)
+
+// Describe sends the description of the metric.
+func (storeCalls) Describe(ch chan<- *prometheus.Desc) { ch <- storeCallsDesc }
+
+// Collect sends the present values.
+func (c storeCalls) Collect(ch chan<- prometheus.Metric) {
+	for purpose, n := range c() {
+		ch <- prometheus.MustNewConstMetric(storeCallsDesc, prometheus.CounterValue, float64(n), purpose)
+	}
+}
+
 func counter(name, help string, labels ...string) *prometheus.CounterVec {
 	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
 }
