Test the membership of 472 VMs in virtual time, and mend what it shows

The decisions of a VM about its place moved from the gateway to package membership, so that a test can run 14, 111 and 472 of them with mirrors, reports and registrations on one fake store.

Found: some VMs of a starting fleet were ready only after 4.2 to 4.7 s, because their third search for relays came 1.6 to 3.2 s after the second; searches are now 0.6 to 1.2 s apart at most, and only the VM that watches the store gathers changes for 0.8 s in a start. If all leases had expired, all VMs would have registered themselves as relays; the rank decides now.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/rand"
 	"io"
-	mathrand "math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -26,6 +25,7 @@
 	"github.com/fulmarhitch/fulmarhitch/forwarder"
 	"github.com/fulmarhitch/fulmarhitch/ingress"
 	"github.com/fulmarhitch/fulmarhitch/kernel"
+	"github.com/fulmarhitch/fulmarhitch/membership"
 	"github.com/fulmarhitch/fulmarhitch/mirror"
 	"github.com/fulmarhitch/fulmarhitch/presence"
 	"github.com/fulmarhitch/fulmarhitch/quarantine"
@@ -35,7 +35,6 @@
 	"github.com/fulmarhitch/fulmarhitch/sampler"
 	"github.com/fulmarhitch/fulmarhitch/split"
 	"github.com/fulmarhitch/fulmarhitch/telemetry"
-	"github.com/fulmarhitch/fulmarhitch/topology"
 )
 
 // Store holds the routing rules, the upstreams, the registrations and the crash reports.
@@ -43,12 +42,9 @@
 	mirror.Source
 	registration.Store
 	crash.Store
-	// Discover returns the entries that VMs wrote; they may be seconds old unless isFresh is set.
-	Discover(ctx context.Context, isFresh bool) ([]mirror.Entry, error)
+	membership.Store
 	// Calls returns the number of calls by purpose.
 	Calls() map[string]uint64
-	// WriteSize stores the size of the fleet.
-	WriteSize(ctx context.Context, vms int) error
 }
 
 // Config holds the dependencies of a gateway.
@@ -90,12 +86,9 @@
 	relay        *relay.Log
 	crashGuard   *crash.Guard
 	vms          *presence.Table
+	membership   *membership.Membership
 	peerClient   *relay.Client
 	leaving      atomic.Bool
-	start        time.Time
-	// electionDelay is the time after the start from which on this VM may read all entries from the store and become a
-	// relay.
-	electionDelay time.Duration
 
 	directoryAddress, readyAddress string
 }
@@ -111,7 +104,7 @@
 	g := &Gateway{
 		config: c, kernel: kernel.New(), logWriter: asynclog.New(c.Output, s.LogLevel),
 		roster: roster.New(), conditions: condition.New(), splitter: split.New(), retries: forwarder.NewRetries(s.RetryRatio),
-		relay: relay.NewLog(), start: time.Now(), electionDelay: topology.ElectionDelay(s.LinkRate, mathrand.Float64()),
+		relay: relay.NewLog(),
 	}
 	g.settings.Store(s)
 	g.log = g.logWriter.Entry(logrus.Fields{"vm": s.Name, "failure-domain": s.FailureDomain})
@@ -131,6 +124,10 @@
 	g.fleet = fleet.New(self)
 	g.vms = presence.New(self, g.updateList)
 	g.peerClient = relay.NewClient(g.vms)
+	g.membership = membership.New(membership.Config{
+		Store: c.Store, Decode: c.Decode, Fleet: g.fleet, Table: g.vms, IsReady: g.isReady, Log: g.log,
+		Follow: func(vm fleet.VM) mirror.Source { return relay.NewPeer(g.peerClient, vm.PeerAddress) },
+	})
 	g.directoryAddress, g.readyAddress = l.directory.Addr().String(), l.ready.Addr().String()
 	g.registerServices(l)
 	return g, nil
@@ -170,8 +167,8 @@
 	g.sampler = sampler.New(g.exchanger, g.conditions, g.pollShare)
 	g.crashGuard = crash.New(g.config.Store, g.log)
 	g.mirror = mirror.New(mirror.Config{
-		Store: g.config.Store, Decode: g.config.Decode, Sources: g.sources, Discover: g.discover,
-		MayReadStore: g.mayReadStore, Relay: g.relay, Roster: g.roster, Fleet: g.fleet, OnChange: g.applyChange, Log: g.log, OnDeath: func(fingerprint, death uint64) {
+		Store: g.config.Store, Decode: g.config.Decode, Sources: g.membership.Sources, Discover: g.membership.Discover,
+		MayReadStore: g.membership.MayReadStore, Relay: g.relay, Roster: g.roster, Fleet: g.fleet, OnChange: g.applyChange, Log: g.log, OnDeath: func(fingerprint, death uint64) {
 			g.crashGuard.Learn(quarantine.Entry{Fingerprint: fingerprint, Death: death, At: time.Now()})
 		},
 	})
@@ -185,7 +182,7 @@
 		}),
 		Rules: g.mirror.Rules, RulesAge: g.mirror.Age, MaxRulesAge: s.RulesDelay, Bodies: g.bodies, Pick: g.splitter.Pick, Metrics: metrics, Log: g.log,
 	})
-	g.registration = registration.New(g.config.Store, g.fleet.Self(), g.shouldRegister, g.fleet.IsListed, g.log)
+	g.registration = registration.New(g.config.Store, g.fleet.Self(), g.membership.ShouldRegister, g.fleet.IsListed, g.log)
 	g.kernel.Register("mirror", g.mirror)
 	g.kernel.Register("crash-reports", kernel.NewWorker(g.crashGuard.RunReports))
 	g.kernel.Register("housekeeping", kernel.NewWorker(g.runHousekeeping))
@@ -195,7 +192,7 @@
 	if l.peers != nil {
 		g.kernel.Register("relay", newEndpoint(l.peers, relay.Handler(g.relay, g.vms)))
 	}
-	g.kernel.Register("fleet-size", kernel.NewWorker(g.runSize))
+	g.kernel.Register("membership", g.membership)
 	g.kernel.Register("ingress", g.ingress)
 	g.kernel.Register("directory", newEndpoint(l.directory, g.config.Directory(g.findAddresses)))
 	g.kernel.Register("readiness", newEndpoint(l.ready, g.config.Readiness(g.isReady)))
@@ -228,6 +225,18 @@
 	return !g.leaving.Load() && g.mirror.Rules() != nil && g.roster.Len() > 0
 }
 
+// updateList takes over the list that the VMs make of themselves.
+func (g *Gateway) updateList(vms []fleet.VM) {
+	g.fleet.SetPresent(vms)
+	g.divideLimits()
+}
+
+// applyChange takes over a change of the mirrored entries.
+func (g *Gateway) applyChange() {
+	g.membership.Update(time.Now())
+	g.divideLimits()
+}
+
 // findAddresses returns the addresses for the caller in the failure domain, and reports whether there are any.
 func (g *Gateway) findAddresses(failureDomain, caller string) (directory.Answer, bool) {
 	if g.mirror.Rules() == nil {
@@ -294,8 +303,7 @@
 func (g *Gateway) Drain(ctx context.Context) error {
 	start := time.Now()
 	g.leaving.Store(true)
-	g.fleet.Leave()
-	g.vms.Leave()
+	g.membership.Leave()
 	g.mirror.Interrupt()
 	g.ingress.Drain()
 	g.log.Info("graceful shutdown started")
--- a/gateway/housekeeping.go
+++ b/gateway/housekeeping.go
@@ -39,7 +39,7 @@
 				g.log.WithField("upstreams", n).Info("dropped upstreams that did not register again after the store outage")
 			}
 			g.fleet.Expire(now)
-			g.updateMembership(now)
+			g.membership.Update(now)
 			g.conditions.Expire(now)
 			g.sampler.Retain(g.roster.Has)
 			g.divideLimits()
--- /dev/null
+++ b/membership/membership.go
@@ -0,0 +1,215 @@
+package membership
+
+import (
+	"context"
+	"crypto/rand"
+	mathrand "math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/fulmarhitch/fulmarhitch/fleet"
+	"github.com/fulmarhitch/fulmarhitch/kernel"
+	"github.com/fulmarhitch/fulmarhitch/mirror"
+	"github.com/fulmarhitch/fulmarhitch/presence"
+	"github.com/fulmarhitch/fulmarhitch/topology"
+)
+
+const (
+	// settleTime is the time after the start in which the list of VMs is incomplete. Until then only VMs that were relays
+	// before, or that found no relay, register themselves.
+	settleTime = 4 * time.Second
+	// sizeChange is the relative change of the fleet's size above which the stored size is updated.
+	sizeChange = 0.25
+	// sizeInterval is the minimum time between two such updates.
+	sizeInterval = 5 * time.Second
+	// sizeTimeout bounds an update.
+	sizeTimeout = 500 * time.Millisecond
+	// remoteDelay is the time after the start in which a VM waits for a relay of its own failure domain.
+	remoteDelay = 2500 * time.Millisecond
+	// standbyDelay is the time that the standby of a starting fleet leaves the first relay to read the store.
+	standbyDelay = 400 * time.Millisecond
+)
+
+// Store holds the entries of the relays and the size of the fleet.
+type Store interface {
+	// Discover returns the entries that VMs wrote; they may be seconds old unless isFresh is set.
+	Discover(ctx context.Context, isFresh bool) ([]mirror.Entry, error)
+	// WriteSize stores the size of the fleet.
+	WriteSize(ctx context.Context, vms int) error
+}
+
+// Config holds the dependencies of a membership.
+type Config struct {
+	Store Store
+	// Decode decodes the store's entries.
+	Decode func(e mirror.Entry, now time.Time) []mirror.Change
+	// Fleet holds the known VMs, and Table the list that they make of themselves.
+	Fleet *fleet.Fleet
+	Table *presence.Table
+	// IsReady reports whether this VM serves callers.
+	IsReady func() bool
+	// Follow returns the VM as a source of entries.
+	Follow func(vm fleet.VM) mirror.Source
+	Log    *logrus.Entry
+}
+
+// Membership is the kernel service that keeps the stored size of the fleet up to date while this VM watches the store. Its
+// methods are safe for concurrent use.
+type Membership struct {
+	*kernel.Worker
+	config Config
+	start  time.Time
+	// electionDelay is the time after the start from which on this VM may read all entries from the store and become a
+	// relay.
+	electionDelay time.Duration
+	leaving       atomic.Bool
+}
+
+// New returns a membership of the fleet's own VM.
+func New(c Config) *Membership {
+	m := &Membership{
+		config: c, start: time.Now(), electionDelay: topology.ElectionDelay(c.Fleet.Self().LinkRate, mathrand.Float64()),
+	}
+	m.Worker = kernel.NewWorker(m.runSize)
+	return m
+}
+
+// Leave takes this VM out of the fleet permanently.
+func (m *Membership) Leave() {
+	m.leaving.Store(true)
+	m.config.Fleet.Leave()
+	m.config.Table.Leave()
+}
+
+// place returns this VM's place in the hierarchy of followers. If no VM is registered, as after an outage in which all
+// leases expired, all known VMs count as relays.
+func (m *Membership) place() topology.Place {
+	relays := m.config.Fleet.Relays()
+	if len(relays) == 0 {
+		relays = m.config.Fleet.List()
+	}
+	// The list of a fleet that starts is incomplete.
+	size := m.config.Fleet.StoredSize()
+	if time.Since(m.start) > settleTime {
+		size, _ = m.config.Fleet.Size()
+	}
+	return topology.New(m.config.Fleet.Self(), relays, size)
+}
+
+// Sources returns the VMs to follow in place of the store.
+func (m *Membership) Sources() mirror.Sources {
+	p := m.place()
+	s := mirror.Sources{Tier: p.Tier}
+	if p.LacksRelay && time.Since(m.start) < remoteDelay && !m.isElected() {
+		return s
+	}
+	for _, vm := range p.Sources {
+		if vm.PeerAddress != "" {
+			s.Peers = append(s.Peers, mirror.Peer{Name: vm.Name, Source: m.config.Follow(vm)})
+		}
+	}
+	return s
+}
+
+// Discover looks for relays in the store.
+func (m *Membership) Discover(ctx context.Context, isFresh bool) error {
+	entries, err := m.config.Store.Discover(ctx, isFresh)
+	if err != nil {
+		return err
+	}
+	var relays []fleet.VM
+	now := time.Now()
+	for _, e := range entries {
+		for _, c := range m.config.Decode(e, now) {
+			switch c := c.(type) {
+			case mirror.VMPut:
+				relays = append(relays, c.VM)
+			case mirror.SizePut:
+				m.config.Fleet.SetStoredSize(c.VMs)
+			case mirror.Unreadable:
+				m.config.Log.WithError(c.Err).WithField("key", c.Key).Warn("cannot decode an entry of the store; not using it")
+			case mirror.RulesPut, mirror.UpstreamPut, mirror.UpstreamRemoved, mirror.VMRemoved, mirror.DeathPut:
+			}
+		}
+	}
+	m.config.Fleet.Replace(relays, now)
+	return nil
+}
+
+// MayReadStore reports whether this VM may read the first entries from the store: in a small fleet, as the first relay or
+// its standby, or if it found no relay in time.
+func (m *Membership) MayReadStore() bool {
+	if topology.IsSmall(m.config.Fleet.StoredSize()) || m.isElected() {
+		return true
+	}
+	switch m.place().Tier {
+	case topology.Watcher:
+		return len(m.config.Fleet.Relays()) > 0
+	case topology.Standby:
+		return time.Since(m.start) > standbyDelay
+	default:
+		return false
+	}
+}
+
+// isElected reports whether this VM had the time to find a relay.
+func (m *Membership) isElected() bool {
+	return time.Since(m.start) > m.electionDelay
+}
+
+// ShouldRegister reports whether the VM registers itself in the store as a relay.
+func (m *Membership) ShouldRegister() bool {
+	f := m.config.Fleet
+	relays, size := f.Relays(), f.StoredSize()
+	isStarting := time.Since(m.start) < settleTime
+	switch {
+	case m.leaving.Load():
+		return false
+	case f.IsRelay() || topology.IsSmall(size):
+		return true
+	case isStarting && len(relays) > 0:
+		return m.isElected() && m.place().LacksRelay
+	case isStarting || size == 0:
+		// The watcher stores the size once it knows the fleet.
+		return m.isElected() && len(relays) == 0
+	}
+	list := f.List()
+	return topology.ShouldRelay(f.Self(), list, topology.IsSmall(max(size, len(list))))
+}
+
+// Update updates what this VM tells others about itself, and whether it leads the list of VMs.
+func (m *Membership) Update(now time.Time) {
+	ready := m.config.IsReady()
+	m.config.Fleet.SetServing(ready)
+	m.config.Table.SetServing(ready)
+	m.config.Table.Lead(m.place().Tier == topology.Watcher, rand.Text(), now)
+	m.config.Table.Expire(now)
+}
+
+// runSize keeps the stored size of the fleet up to date while this VM watches the store.
+func (m *Membership) runSize(ctx context.Context) {
+	ticker := time.NewTicker(sizeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		n, stored := len(m.config.Fleet.List()), m.config.Fleet.StoredSize()
+		if m.place().Tier != topology.Watcher || float64(max(n-stored, stored-n)) <= sizeChange*float64(stored) {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, sizeTimeout)
+		err := m.config.Store.WriteSize(callCtx, n)
+		cancel()
+		entry := m.config.Log.WithFields(logrus.Fields{"vms": n, "stored": stored})
+		if err != nil {
+			entry.WithError(err).Info("cannot update the stored size of the fleet")
+			continue
+		}
+		entry.Info("stored size of the fleet updated")
+	}
+}
--- /dev/null
+++ b/membership/membership_test.go
@@ -0,0 +1,470 @@
+package membership_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/fulmarhitch/fulmarhitch/fleet"
+	"github.com/fulmarhitch/fulmarhitch/membership"
+	"github.com/fulmarhitch/fulmarhitch/mirror"
+	"github.com/fulmarhitch/fulmarhitch/presence"
+	"github.com/fulmarhitch/fulmarhitch/registration"
+	"github.com/fulmarhitch/fulmarhitch/relay"
+	"github.com/fulmarhitch/fulmarhitch/roster"
+	"github.com/fulmarhitch/fulmarhitch/ruleset"
+)
+
+const (
+	// callTime is the time of a call of the store, and pageSize the number of entries of a page.
+	callTime = 4 * time.Millisecond
+	pageSize = 50
+	// staleness is the age of reads that may be old.
+	staleness = 300 * time.Millisecond
+	// numUpstreams is the number of upstreams, each of which has an entry.
+	numUpstreams = 1080
+	// ownPrefix begins the keys of the VMs' entries.
+	ownPrefix = "vm/"
+)
+
+var errUnavailable = errors.New("not available")
+
+// store is a fake store with the entries of a large deployment. Renewals and reads that may be old count as a tenth of a call.
+type store struct {
+	mu       sync.Mutex
+	entries  map[string]mirror.Entry
+	history  []mirror.Entry
+	revision uint64
+	changed  chan struct{}
+	// stale holds the entries as they were some time ago.
+	stale []mirror.Entry
+	calls float64
+	down  bool
+	// dropped is the revision up to which the history is lost.
+	dropped uint64
+}
+
+func newStore() *store {
+	s := &store{entries: make(map[string]mirror.Entry), changed: make(chan struct{})}
+	s.put("rules", nil)
+	return s
+}
+
+// call counts a call with its price and waits for the time that it takes.
+func (s *store) call(ctx context.Context, price float64) error {
+	s.mu.Lock()
+	s.calls += price
+	down := s.down
+	s.mu.Unlock()
+	time.Sleep(callTime)
+	if down {
+		return errUnavailable
+	}
+	return ctx.Err()
+}
+
+func (s *store) put(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.change(mirror.Entry{Key: key, Value: value})
+}
+
+// change applies a change; the caller holds mu.
+func (s *store) change(e mirror.Entry) {
+	s.revision++
+	e.Revision = s.revision
+	if e.Deleted {
+		delete(s.entries, e.Key)
+	} else {
+		s.entries[e.Key] = e
+	}
+	s.history = append(s.history, e)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// list returns the entries whose keys have the prefix.
+func (s *store) list(prefix string) (list []mirror.Entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, e := range s.entries {
+		if len(key) >= len(prefix) && key[:len(prefix)] == prefix {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+func (s *store) Snapshot(ctx context.Context) (mirror.Batch, error) {
+	s.mu.Lock()
+	revision, pages := s.revision, 1+len(s.entries)/pageSize
+	s.mu.Unlock()
+	for range pages {
+		if err := s.call(ctx, 1); err != nil {
+			return mirror.Batch{}, err
+		}
+	}
+	return mirror.Batch{Entries: s.list(""), Whole: true, Revision: revision}, nil
+}
+
+func (s *store) Watch(ctx context.Context, after uint64, wait time.Duration) (mirror.Batch, error) {
+	if err := s.call(ctx, 1); err != nil {
+		return mirror.Batch{}, err
+	}
+	end := time.After(wait)
+	for {
+		s.mu.Lock()
+		b, changed, lost := mirror.Batch{Revision: s.revision}, s.changed, after < s.dropped
+		if n := len(s.history); n > 0 && s.revision > after {
+			b.Entries = append(b.Entries, s.history[n-int(s.revision-after):]...)
+		}
+		s.mu.Unlock()
+		if lost {
+			return mirror.Batch{}, mirror.ErrCompacted
+		}
+		if len(b.Entries) > 0 {
+			return b, nil
+		}
+		select {
+		case <-changed:
+		case <-end:
+			return b, nil
+		case <-ctx.Done():
+			return mirror.Batch{}, ctx.Err()
+		}
+	}
+}
+
+func (s *store) Discover(ctx context.Context, isFresh bool) ([]mirror.Entry, error) {
+	if isFresh {
+		err := s.call(ctx, 1)
+		return s.list(ownPrefix), err
+	}
+	err := s.call(ctx, 0.1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stale, err
+}
+
+// runStale keeps the old view up to date until ctx is done.
+func (s *store) runStale(ctx context.Context) {
+	for ctx.Err() == nil {
+		list := s.list(ownPrefix)
+		time.Sleep(staleness)
+		s.mu.Lock()
+		s.stale = list
+		s.mu.Unlock()
+	}
+}
+
+func (s *store) WriteSize(ctx context.Context, vms int) error {
+	if err := s.call(ctx, 1); err != nil {
+		return err
+	}
+	s.put(ownPrefix+"size", fmt.Appendf(nil, "%d", vms))
+	return nil
+}
+
+func (s *store) Register(ctx context.Context, vm fleet.VM, _ time.Duration) (registration.Lease, error) {
+	if err := s.call(ctx, 2); err != nil {
+		return 0, err
+	}
+	value, err := json.Marshal(vm)
+	s.put(ownPrefix+vm.Name, value)
+	return 1, err
+}
+
+func (s *store) Renew(ctx context.Context, _ registration.Lease) error { return s.call(ctx, 0.1) }
+
+// Release does nothing: the nodes are killed, and their entries expire.
+func (s *store) Release(context.Context, registration.Lease) error { return nil }
+
+// expire removes the VM's entry unless it has been written again.
+func (s *store) expire(vm fleet.VM) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, exists := s.entries[ownPrefix+vm.Name]
+	var stored fleet.VM
+	if exists && json.Unmarshal(e.Value, &stored) == nil && stored.Incarnation == vm.Incarnation {
+		s.change(mirror.Entry{Key: e.Key, Deleted: true})
+	}
+}
+
+// decode decodes an entry of the store.
+func decode(e mirror.Entry, _ time.Time) []mirror.Change {
+	switch {
+	case e.Key == ownPrefix+"size":
+		var n int
+		if err := json.Unmarshal(e.Value, &n); err != nil {
+			return []mirror.Change{mirror.Unreadable{Key: e.Key, Err: err}}
+		}
+		return []mirror.Change{mirror.SizePut{VMs: n}}
+	case e.Key == "rules":
+		return []mirror.Change{mirror.RulesPut{Set: ruleset.New(e.Revision, nil, nil, ruleset.Limits{})}}
+	case e.Key[:len(ownPrefix)] != ownPrefix:
+		return []mirror.Change{mirror.UpstreamPut{Upstream: roster.Upstream{ID: e.Key, Service: "s"}}}
+	case e.Deleted:
+		return []mirror.Change{mirror.VMRemoved{Name: e.Key[len(ownPrefix):]}}
+	}
+	var vm fleet.VM
+	if err := json.Unmarshal(e.Value, &vm); err != nil {
+		return []mirror.Change{mirror.Unreadable{Key: e.Key, Err: err}}
+	}
+	return []mirror.Change{mirror.VMPut{VM: vm}}
+}
+
+// node is a VM with everything that keeps its view of the store and of the fleet.
+type node struct {
+	vm           fleet.VM
+	log          *relay.Log
+	fleet        *fleet.Fleet
+	table        *presence.Table
+	roster       *roster.Roster
+	membership   *membership.Membership
+	mirror       *mirror.Mirror
+	registration *registration.Registration
+	cancel       context.CancelFunc
+	running      bool
+}
+
+// network holds the nodes by name.
+type network struct {
+	mu    sync.Mutex
+	nodes map[string]*node
+}
+
+func (n *network) get(name string) *node {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if x := n.nodes[name]; x != nil && x.running {
+		return x
+	}
+	return nil
+}
+
+// link is a node as a source for another one.
+type link struct {
+	network *network
+	from    *node
+	to      string
+}
+
+const linkTime = time.Millisecond
+
+func (l link) Snapshot(ctx context.Context) (mirror.Batch, error) {
+	return l.Watch(ctx, 0, 400*time.Millisecond)
+}
+
+func (l link) Watch(ctx context.Context, after uint64, wait time.Duration) (mirror.Batch, error) {
+	time.Sleep(linkTime)
+	to := l.network.get(l.to)
+	if to == nil {
+		return mirror.Batch{}, errUnavailable
+	}
+	to.table.Record(l.from.table.Report(), time.Now())
+	waitCtx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	b, fresh := to.log.Since(waitCtx, after, to.table.Changed())
+	if l.network.get(l.to) == nil || b.Revision == 0 {
+		return mirror.Batch{}, errUnavailable
+	}
+	l.from.table.Apply(to.table.Changes(l.from.table.Position()))
+	if !fresh {
+		return mirror.Batch{}, mirror.ErrStale
+	}
+	return b, ctx.Err()
+}
+
+// start starts the process of a VM.
+func (n *network) start(t *testing.T, s *store, vm fleet.VM) *node {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	log := logrus.NewEntry(logger)
+	x := &node{vm: vm, log: relay.NewLog(), fleet: fleet.New(vm), roster: roster.New(), running: true}
+	x.table = presence.New(vm, x.fleet.SetPresent)
+	isReady := func() bool { return x.mirror.Rules() != nil && x.roster.Len() > 0 }
+	x.membership = membership.New(membership.Config{
+		Store: s, Decode: decode, Fleet: x.fleet, Table: x.table, IsReady: isReady, Log: log,
+		Follow: func(vm fleet.VM) mirror.Source { return link{n, x, vm.Name} },
+	})
+	x.mirror = mirror.New(mirror.Config{
+		Store: s, Decode: decode, Sources: x.membership.Sources, Discover: x.membership.Discover,
+		MayReadStore: x.membership.MayReadStore, Relay: x.log, Roster: x.roster, Fleet: x.fleet,
+		OnChange: func() { x.membership.Update(time.Now()) }, OnDeath: func(uint64, uint64) {}, Log: log,
+	})
+	x.registration = registration.New(s, vm, x.membership.ShouldRegister, x.fleet.IsListed, log)
+	ctx, cancel := context.WithCancel(t.Context())
+	x.cancel = cancel
+	for _, service := range []interface{ Start(context.Context) error }{x.membership, x.mirror, x.registration} {
+		if err := service.Start(ctx); err != nil {
+			t.Error(err)
+		}
+	}
+	go func() {
+		for ctx.Err() == nil {
+			time.Sleep(500 * time.Millisecond)
+			x.fleet.Expire(time.Now())
+			x.membership.Update(time.Now())
+		}
+	}()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.nodes[vm.Name] = x
+	return x
+}
+
+// leaseTime is the time after which the entry of a VM that has ended expires.
+const leaseTime = 4 * time.Second
+
+// kill ends the processes; their entries stay in the store until they expire.
+func (n *network) kill(s *store, nodes ...*node) {
+	n.mu.Lock()
+	for _, x := range nodes {
+		x.running = false
+	}
+	n.mu.Unlock()
+	var all sync.WaitGroup
+	for _, x := range nodes {
+		all.Go(func() {
+			x.cancel()
+			_ = x.mirror.Stop(context.Background())
+			_ = x.membership.Stop(context.Background())
+			_ = x.registration.Stop(context.Background())
+			time.AfterFunc(leaseTime, func() { s.expire(x.vm) })
+		})
+	}
+	all.Wait()
+}
+
+// fleetOf returns the VMs of a fleet in five failure domains; the first fast ones of each have fast links.
+func fleetOf(n, fast int) []fleet.VM {
+	var vms []fleet.VM
+	for i := range n {
+		rate := 20.0
+		if i/5 < fast {
+			rate = 200
+		}
+		name := fmt.Sprintf("vm-%03d", i)
+		vms = append(vms, fleet.VM{
+			Name: name, Incarnation: name, PeerAddress: name, Address: name, FailureDomain: fmt.Sprint("fd-", i%5), LinkRate: rate,
+		})
+	}
+	return vms
+}
+
+// startAll starts all VMs within 0.3 s.
+func (n *network) startAll(t *testing.T, s *store, vms []fleet.VM, run int) []*node {
+	var nodes []*node
+	for i, vm := range vms {
+		vm.Incarnation = fmt.Sprint(vm.Name, "-", run)
+		nodes = append(nodes, n.start(t, s, vm))
+		if i%16 == 0 {
+			time.Sleep(300 * time.Millisecond * 16 / time.Duration(len(vms)))
+		}
+	}
+	return nodes
+}
+
+// readyWithin waits until all nodes know the rules and all upstreams, and returns the time that it took.
+func readyWithin(nodes []*node, most time.Duration) (took time.Duration, notReady int) {
+	start := time.Now()
+	for {
+		notReady = 0
+		for _, x := range nodes {
+			if x.mirror.Rules() == nil || x.roster.Len() < numUpstreams {
+				notReady++
+			}
+		}
+		if took = time.Since(start); notReady == 0 || took > most {
+			return took, notReady
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// TestFleet guards against a fleet that does not start, or that calls the store with each VM: at first with an empty
+// store, after all VMs were killed at once, and when the watcher and its standby end. Each call has a price; the goals are 500 calls in a
+// day, and a VM that is ready 3 s after its start.
+func TestFleet(t *testing.T) {
+	const readyTime = 3 * time.Second
+	for name, c := range map[string]struct{ vms, fast, mostCalls int }{
+		"14 VMs":                      {14, 3, 500},
+		"111 VMs":                     {111, 2, 500},
+		"472 VMs, 15 with fast links": {472, 3, 500},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				s, n := newStore(), &network{nodes: make(map[string]*node)}
+				go s.runStale(ctx)
+				go func() {
+					for i := range numUpstreams {
+						s.put(fmt.Sprintf("up-%04d", i), nil)
+						time.Sleep(time.Millisecond)
+					}
+				}()
+				nodes := n.startAll(t, s, fleetOf(c.vms, c.fast), 1)
+				if took, missing := readyWithin(nodes, 10*time.Second); took > readyTime {
+					t.Errorf("start: %d VMs not ready after %s", missing, took)
+				}
+				time.Sleep(10 * time.Second)
+				for _, x := range nodes {
+					if got := len(x.fleet.List()); got != c.vms {
+						t.Fatalf("%s lists %d VMs", x.vm.Name, got)
+					}
+				}
+				if s.calls > float64(c.mostCalls) {
+					t.Errorf("start: %.0f calls", s.calls)
+				}
+				atStart := s.calls
+
+				n.kill(s, nodes...)
+				time.Sleep(time.Second)
+				nodes = n.startAll(t, s, fleetOf(c.vms, c.fast), 2)
+				if took, missing := readyWithin(nodes, 10*time.Second); took > readyTime {
+					t.Errorf("restart: %d VMs not ready after %s", missing, took)
+				}
+				time.Sleep(5 * time.Second)
+				if calls := s.calls - atStart; calls > float64(c.mostCalls) {
+					t.Errorf("restart: %.0f calls", calls)
+				}
+				restarted := s.calls
+
+				var first, others []*node
+				for _, x := range nodes {
+					if len(x.membership.Sources().Peers) < 2 {
+						first = append(first, x)
+					} else {
+						others = append(others, x)
+					}
+				}
+				n.kill(s, first...)
+				s.put("rules", nil)
+				version := s.revision
+				time.Sleep(3 * time.Second)
+				for _, x := range others {
+					if set := x.mirror.Rules(); set == nil || set.Version < version {
+						t.Fatalf("%s has version %+v without watcher and standby", x.vm.Name, set)
+					}
+				}
+				time.Sleep(5 * time.Second)
+				if calls := s.calls - restarted; calls > float64(c.mostCalls)/2 {
+					t.Errorf("without %d VMs: %.0f calls", len(first), calls)
+				}
+				t.Logf("calls: start %.0f, restart %.0f, without %d VMs %.0f", atStart, restarted-atStart, len(first), s.calls-restarted)
+				n.kill(s, others...)
+				cancel()
+				time.Sleep(10 * time.Second)
+			})
+		})
+	}
+}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -49,7 +49,7 @@
 	joinTimeout = 2 * time.Second
 	// minDiscoveryPause and maxDiscoveryPause bound the backoff between two searches for relays.
 	minDiscoveryPause = 800 * time.Millisecond
-	maxDiscoveryPause = 3200 * time.Millisecond
+	maxDiscoveryPause = 1200 * time.Millisecond
 	// discoveryTimeout bounds a search.
 	discoveryTimeout = 500 * time.Millisecond
 	// minPause and maxPause bound the backoff after a failed call.
@@ -119,8 +119,8 @@
 	outageEnd time.Time
 	// lastStoreCall is the time of the last call to the store.
 	lastStoreCall time.Time
-	// indirectStoreAge is the constant of that name with jitter.
-	indirectStoreAge time.Duration
+	// followerStoreAge is the constant of that name with jitter.
+	followerStoreAge time.Duration
 
 	mu sync.Mutex
 	// interrupt cancels the call in progress.
@@ -132,7 +132,7 @@
 // New returns a mirror without entries.
 func New(c Config) *Mirror {
 	m := &Mirror{config: c, start: time.Now(), avoidUntil: make(map[string]time.Time)}
-	m.indirectStoreAge = indirectStoreAge + rand.N(indirectStoreAge)
+	m.followerStoreAge = followerStoreAge + rand.N(followerStoreAge)
 	m.Worker = kernel.NewWorker(m.follow)
 	return m
 }
@@ -225,7 +225,7 @@
 			pause.Reset()
 			revision, hasRevision, storeOnly, watchBroken = max(b.Revision, revision), true, false, false
 			if len(b.Entries) > 0 {
-				m.pauseAfterChanges(ctx)
+				m.pauseAfterChanges(ctx, s.peer == nil)
 			} else if s.peer != nil && s.wait == 0 {
 				backoff.Sleep(ctx, refreshPause)
 			}
@@ -247,9 +247,9 @@
 	}
 }
 
-// pauseAfterChanges waits for the batch delay.
-func (m *Mirror) pauseAfterChanges(ctx context.Context) {
-	if time.Since(m.start) < startupPeriod {
+// pauseAfterChanges waits for the batch delay. Calls of the store have a price, those of peers hardly.
+func (m *Mirror) pauseAfterChanges(ctx context.Context, byStore bool) {
+	if byStore && time.Since(m.start) < startupPeriod {
 		backoff.Sleep(ctx, batchDelayAtStart)
 		return
 	}
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -88,7 +88,7 @@
 
 // newMirror returns a mirror of the store that follows the peers.
 func newMirror(store *source, r mirror.Relay, peers ...mirror.Peer) *mirror.Mirror {
-	tier := topology.Tier(min(len(peers), int(topology.Direct)))
+	tier := topology.Tier(min(len(peers), int(topology.Relay)))
 	return newMirrorAt(tier, store, r, peers...)
 }
 
--- a/mirror/step.go
+++ b/mirror/step.go
@@ -28,11 +28,11 @@
 	stalePeerPause = 500 * time.Millisecond
 	// standbyStorePause is the time between calls of a lost store by the standby.
 	standbyStorePause = 500 * time.Millisecond
-	// followerStorePause is the same for the other VMs that have peers to follow.
-	followerStorePause = 5 * time.Second
-	// indirectStoreAge is the least age of its entries at which a VM that follows a relay calls the store, and also the time
+	// relayStorePause is the same for the other relays.
+	relayStorePause = 5 * time.Second
+	// followerStoreAge is the least age of its entries at which a VM that isn't a relay calls the store, and also the time
 	// between such calls. There may be thousands of such VMs, and in an outage they would all call it in vain.
-	indirectStoreAge = 4 * time.Second
+	followerStoreAge = 4 * time.Second
 )
 
 // step is what to do next: pause, or call a peer or the store.
@@ -50,17 +50,17 @@
 // others call the standby first.
 func (m *Mirror) nextStep(storeOnly, watchBroken bool) step {
 	sources, now := m.config.Sources(), time.Now()
-	peers, indirect := sources.Peers, sources.Tier == topology.Indirect
+	peers, isFollower := sources.Peers, sources.Tier >= topology.Direct
 	if storeOnly || len(peers) == 0 {
 		return m.storeStep(watchBroken)
 	}
-	s, storePause := step{wait: peerWait, maxAge: maxAge}, followerStorePause
+	s, storePause := step{wait: peerWait, maxAge: maxAge}, relayStorePause
 	switch sources.Tier {
 	case topology.Standby:
 		s.maxAge, storePause = standbyMaxAge, standbyStorePause
 	case topology.Indirect:
 		s.maxAge = indirectMaxAge
-	case topology.Watcher, topology.Direct:
+	case topology.Watcher, topology.Relay, topology.Direct:
 	}
 	usable := 0
 	for i, p := range peers {
@@ -73,7 +73,7 @@
 		}
 	}
 	switch {
-	case s.peer == nil && indirect && (m.Age() < m.indirectStoreAge || now.Sub(m.lastStoreCall) < m.indirectStoreAge):
+	case s.peer == nil && isFollower && (m.Age() < m.followerStoreAge || now.Sub(m.lastStoreCall) < m.followerStoreAge):
 		return step{pause: refreshPause}
 	case s.peer == nil && m.storeLost && now.Sub(m.lastStoreCall) < storePause:
 		return step{pause: refreshPause}
--- a/topology/place.go
+++ b/topology/place.go
@@ -20,7 +20,7 @@
 	minRelays = 2
 	// smallFleet is the largest fleet in which every VM is a relay. Its VMs may all call the store when they start.
 	smallFleet = 30
-	// alternatives is the number of relays that a VM of a large fleet tries before the watcher and its standby.
+	// alternatives is the number of relays that a VM may follow besides the watcher and its standby.
 	alternatives = 2
 )
 
@@ -32,7 +32,9 @@
 	Watcher Tier = iota
 	// Standby is the tier of the VM that takes over from the watcher.
 	Standby
-	// Direct is the tier of the other VMs that follow the watcher.
+	// Relay is the tier of the other relays. They follow the watcher.
+	Relay
+	// Direct is the tier of VMs that follow the watcher and aren't relays.
 	Direct
 	// Indirect is the tier of the VMs that follow a relay.
 	Indirect
@@ -59,8 +61,11 @@
 		return Place{Tier: Watcher}
 	case rank == 1:
 		return Place{Tier: Standby, Sources: order[:1]}
-	case rank > 1 || vms > 0 && vms <= maxDirectFollowers:
-		return Place{Tier: Direct, Sources: order[:min(len(order), 2)]}
+	case rank > 1:
+		return Place{Tier: Relay, Sources: order[:2]}
+	case vms > 0 && vms <= maxDirectFollowers:
+		// If the first two fail, the next relays call the store, and the others follow these.
+		return Place{Tier: Direct, Sources: order[:min(len(order), 2+alternatives)]}
 	}
 	// The watcher already has the relays as followers.
 	var near []fleet.VM
--- a/topology/topology_test.go
+++ b/topology/topology_test.go
@@ -74,11 +74,11 @@
 				p := topology.New(vm, relays, len(vms))
 				for _, source := range p.Sources {
 					So(source.Name, ShouldNotEqual, vm.Name)
-					So(tiers[source.Name], ShouldBeLessThan, max(p.Tier, topology.Direct)+1)
+					So(tiers[source.Name], ShouldBeLessThan, max(p.Tier, topology.Relay)+1)
 				}
 				if p.Tier == topology.Indirect {
 					So(p.Sources[0].FailureDomain, ShouldEqual, vm.FailureDomain)
-					So(tiers[p.Sources[0].Name], ShouldBeLessThan, topology.Indirect)
+					So(tiers[p.Sources[0].Name], ShouldBeLessThan, topology.Direct)
 				}
 			}
 		})
@@ -156,7 +156,7 @@
 		registered := 0
 		for _, vm := range vms {
 			p := topology.New(vm, relays, 0)
-			if p.Tier == topology.Direct {
+			if p.Tier < topology.Indirect {
 				So(relays, ShouldContain, vm)
 			}
 			if topology.ShouldRelay(vm, append(relays, vm), false) {
