Store the size of the fleet only once it is stable, and call the store when no peer answers

It now waits 1 s, unless a peer answers that it has lost contact with the store itself (TestRelaysLost). A fleet has six relays at least.

Found by TestOldReads: while searches find nothing, a VM that knew only itself stored a size of 1, and all VMs became relays. The size is stored by a listed watcher, after 5 s without a change by a quarter.

--- a/membership/membership.go
+++ b/membership/membership.go
@@ -22,8 +22,10 @@
 	settleTime = 4 * time.Second
 	// sizeChange is the relative change of the fleet's size above which the stored size is updated.
 	sizeChange = 0.25
-	// sizeInterval is the minimum time between two such updates.
-	sizeInterval = 5 * time.Second
+	// sizeInterval is the time between two checks of the size, and stableTime the time for which it must not have changed by
+	// more than that before it is stored: the list of a fleet that starts grows for some seconds.
+	sizeInterval = 2500 * time.Millisecond
+	stableTime   = 2 * sizeInterval
 	// sizeTimeout bounds an update.
 	sizeTimeout = 500 * time.Millisecond
 	// remoteDelay is the time after the start in which a VM waits for a relay of its own failure domain.
@@ -188,10 +190,16 @@
 	m.config.Table.Expire(now)
 }
 
+// hasChanged reports whether the size of the fleet has changed by more than sizeChange.
+func hasChanged(before, now int) bool {
+	return float64(max(now-before, before-now)) > sizeChange*float64(before)
+}
+
 // runSize keeps the stored size of the fleet up to date while this VM watches the store.
 func (m *Membership) runSize(ctx context.Context) {
 	ticker := time.NewTicker(sizeInterval)
 	defer ticker.Stop()
+	seen, since := 0, time.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -199,7 +207,12 @@
 		case <-ticker.C:
 		}
 		n, stored := len(m.config.Fleet.List()), m.config.Fleet.StoredSize()
-		if m.place().Tier != topology.Watcher || float64(max(n-stored, stored-n)) <= sizeChange*float64(stored) {
+		if hasChanged(seen, n) {
+			seen, since = n, time.Now()
+		}
+		// A VM that has found no relays yet seems to be alone.
+		isWatcher := m.config.Fleet.IsListed() && m.place().Tier == topology.Watcher
+		if !isWatcher || time.Since(since) < stableTime || !hasChanged(stored, n) {
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, sizeTimeout)
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -395,10 +395,14 @@
 // day, and a VM that is ready 3 s after its start.
 func TestFleet(t *testing.T) {
 	const readyTime = 3 * time.Second
-	for name, c := range map[string]struct{ vms, fast, mostCalls int }{
-		"14 VMs":                      {14, 3, 500},
-		"111 VMs":                     {111, 2, 500},
-		"472 VMs, 15 with fast links": {472, 3, 500},
+	for name, c := range map[string]struct {
+		vms, fast, mostCalls int
+		// inForce is the time within which a version of the rules has to be in force.
+		inForce time.Duration
+	}{
+		"14 VMs":                      {14, 3, 500, 2 * time.Second},
+		"111 VMs":                     {111, 2, 500, 2500 * time.Millisecond},
+		"472 VMs, 15 with fast links": {472, 3, 500, 3 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -450,7 +454,7 @@
 				n.kill(s, first...)
 				s.put("rules", nil)
 				version := s.revision
-				time.Sleep(3 * time.Second)
+				time.Sleep(c.inForce)
 				for _, x := range others {
 					if set := x.mirror.Rules(); set == nil || set.Version < version {
 						t.Fatalf("%s has version %+v without watcher and standby", x.vm.Name, set)
@@ -468,3 +472,67 @@
 		})
 	}
 }
+
+// TestRelaysLost guards against VMs that get no changes because all relays have ended.
+func TestRelaysLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s, n := newStore(), &network{nodes: make(map[string]*node)}
+		go s.runStale(ctx)
+		for i := range numUpstreams {
+			s.put(fmt.Sprintf("up-%04d", i), nil)
+		}
+		vms := fleetOf(60, 2)
+		for i := range vms {
+			vms[i].FailureDomain = "the only one"
+		}
+		nodes := n.startAll(t, s, vms, 1)
+		time.Sleep(15 * time.Second)
+		var relays, others []*node
+		for _, x := range nodes {
+			if x.fleet.IsRelay() {
+				relays = append(relays, x)
+			} else {
+				others = append(others, x)
+			}
+		}
+		if len(relays) < 6 || len(relays) > 20 {
+			t.Errorf("%d relays", len(relays))
+		}
+		n.kill(s, relays...)
+		s.put("rules", nil)
+		version := s.revision
+		time.Sleep(2 * time.Second)
+		for _, x := range others {
+			if set := x.mirror.Rules(); set == nil || set.Version < version {
+				t.Errorf("%s has version %+v without relays", x.vm.Name, set)
+			}
+		}
+		n.kill(s, others...)
+		cancel()
+		time.Sleep(10 * time.Second)
+	})
+}
+
+// TestOldReads guards against VMs that take a large fleet for a small one, and all become relays, because reads that may be
+// old show no relays for as long as the fleet starts.
+func TestOldReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, n := newStore(), &network{nodes: make(map[string]*node)}
+		s.put("up-0000", nil)
+		nodes := n.startAll(t, s, fleetOf(60, 2), 1)
+		time.Sleep(20 * time.Second)
+		relays := 0
+		for _, x := range nodes {
+			if x.fleet.IsRelay() {
+				relays++
+			}
+		}
+		if relays > 20 {
+			t.Errorf("%d relays of %d VMs", relays, len(nodes))
+		}
+		n.kill(s, nodes...)
+		time.Sleep(10 * time.Second)
+	})
+}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -119,6 +119,8 @@
 	outageEnd time.Time
 	// lastStoreCall is the time of the last call to the store.
 	lastStoreCall time.Time
+	// peerAnsweredAt is the time at which a peer answered that it has lost contact with the store.
+	peerAnsweredAt time.Time
 	// followerStoreAge is the constant of that name with jitter.
 	followerStoreAge time.Duration
 
--- a/mirror/step.go
+++ b/mirror/step.go
@@ -33,6 +33,11 @@
 	// followerStoreAge is the least age of its entries at which a VM that isn't a relay calls the store, and also the time
 	// between such calls. There may be thousands of such VMs, and in an outage they would all call it in vain.
 	followerStoreAge = 4 * time.Second
+	// unreachableStoreAge replaces followerStoreAge while none of its peers answers, not even that it has lost contact with
+	// the store: nobody else gets the changes for this VM then.
+	unreachableStoreAge = time.Second
+	// answerMemory is the time for which the answer of a peer counts.
+	answerMemory = 1500 * time.Millisecond
 )
 
 // step is what to do next: pause, or call a peer or the store.
@@ -72,8 +77,12 @@
 			}
 		}
 	}
+	storeAge := m.followerStoreAge
+	if now.Sub(m.peerAnsweredAt) > answerMemory {
+		storeAge = unreachableStoreAge
+	}
 	switch {
-	case s.peer == nil && isFollower && (m.Age() < m.followerStoreAge || now.Sub(m.lastStoreCall) < m.followerStoreAge):
+	case s.peer == nil && isFollower && (m.Age() < storeAge || now.Sub(m.lastStoreCall) < storeAge):
 		return step{pause: refreshPause}
 	case s.peer == nil && m.storeLost && now.Sub(m.lastStoreCall) < storePause:
 		return step{pause: refreshPause}
@@ -99,6 +108,9 @@
 // avoid records that a peer is not followed for a while because of the error.
 func (m *Mirror) avoid(name string, err error) {
 	pause := failedPeerPause
+	if errors.Is(err, ErrStale) {
+		m.peerAnsweredAt = time.Now()
+	}
 	if m.storeLost || errors.Is(err, ErrStale) {
 		pause = stalePeerPause
 	}
--- a/topology/place.go
+++ b/topology/place.go
@@ -16,8 +16,10 @@
 	maxDirectFollowers = 120
 	// vmsPerRelay is the number of VMs of a failure domain for each of its relays.
 	vmsPerRelay = 40
-	// minRelays is the smallest number of relays of a failure domain, so that one may fail.
+	// minRelays is the smallest number of relays of a failure domain, so that one may fail, and minTotal that of the fleet, so
+	// that the watcher and its standby may.
 	minRelays = 2
+	minTotal  = 6
 	// smallFleet is the largest fleet in which every VM is a relay. Its VMs may all call the store when they start.
 	smallFleet = 30
 	// alternatives is the number of relays that a VM may follow besides the watcher and its standby.
@@ -103,8 +105,9 @@
 	if isSmall {
 		return true
 	}
-	size, rank := 1, 0
+	size, rank, domains := 1, 0, map[string]bool{self.FailureDomain: true}
 	for _, vm := range vms {
+		domains[vm.FailureDomain] = true
 		if vm.FailureDomain != self.FailureDomain || vm.Name == self.Name {
 			continue
 		}
@@ -113,7 +116,11 @@
 			rank++
 		}
 	}
-	return rank < max(minRelays, (size+vmsPerRelay-1)/vmsPerRelay)
+	return rank < max(minRelays, ceilDiv(minTotal, len(domains)), ceilDiv(size, vmsPerRelay))
+}
+
+func ceilDiv(a, b int) int {
+	return (a + b - 1) / b
 }
 
 const (
