Refuse at once without an upstream, and don't call a VM without a list in a loop

A request for a service without any known upstream waited until it could no longer be in time (TestNoUpstream).

Found by reading: a follower with a list of VMs whose peer has none, as one that has just restarted and reads the store itself, got each answer at once and called again without a pause (TestList, which fails before: 0 instead of 300 ms).

--- a/forwarder/choose.go
+++ b/forwarder/choose.go
@@ -56,8 +56,9 @@
 		c := r.choose(round%roundsPerFar == 0)
 		waited := time.Since(r.job.Arrived)
 		late := waited+usual > target
+		isKnown := len(r.config.Roster.Usable(r.job.Request.Service)) > 0
 		switch {
-		case c == nil && late:
+		case c == nil && (late || !isKnown):
 			return nil, outcome.NotRun{Reason: outcome.NoUpstream}
 		case c == nil:
 		case waited+time.Duration(c.expectedTime*float64(usual)) <= target && r.mayTakeSlot(c):
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -340,3 +340,14 @@
 		}
 	})
 }
+
+// TestNoUpstream guards against a request that waits although no upstream of its service is known.
+func TestNoUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, r := newService(0, 3)
+		got := runStreams(s, r, time.Second, stream{plain, 10, 100})[plain]
+		if got.refused != got.sent || got.maxRefusalTime > 0 {
+			t.Errorf("%+v", *got)
+		}
+	})
+}
--- a/relay/peer.go
+++ b/relay/peer.go
@@ -97,11 +97,11 @@
 		defer cancel()
 		known := vms.Record(decodeReport(req.Msg), time.Now())
 		interrupt := vms.Changed()
-		if origin, version := vms.Position(); !known || origin != req.Msg.ListOrigin || version != req.Msg.ListVersion {
-			// The follower should repeat its report or get the list without a wait, unless it also needs the entries.
-			if req.Msg.After > 0 {
-				cancel()
-			}
+		origin, version := vms.Position()
+		hasNewList := origin != "" && (origin != req.Msg.ListOrigin || version != req.Msg.ListVersion)
+		if hasEntries := req.Msg.After > 0; hasEntries && (!known || hasNewList) {
+			// The follower should repeat its report, or get the list, without a wait.
+			cancel()
 		}
 		b, fresh := l.Since(ctx, req.Msg.After, interrupt)
 		if b.Revision == 0 {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -47,12 +47,17 @@
 
 // serve serves the log and returns a peer that reads it and the meter of its answers.
 func serve(t *testing.T, l *relay.Log) (*relay.Peer, *meter) {
-	s := httptest.NewUnstartedServer(relay.Handler(l, newTable("server")))
+	return serveList(t, l, newTable("server"), newTable("follower"))
+}
+
+// serveList is like serve with the tables of the server and of the follower.
+func serveList(t *testing.T, l *relay.Log, server, follower *presence.Table) (*relay.Peer, *meter) {
+	s := httptest.NewUnstartedServer(relay.Handler(l, server))
 	m := &meter{Listener: s.Listener}
 	s.Listener = m
 	s.Start()
 	t.Cleanup(s.Close)
-	client := relay.NewClient(newTable("follower"))
+	client := relay.NewClient(follower)
 	t.Cleanup(client.Close)
 	return relay.NewPeer(client, strings.TrimPrefix(s.URL, "http://")), m
 }
@@ -155,3 +160,33 @@
 		So(errors.Is(<-result, mirror.ErrStale), ShouldBeTrue)
 	})
 }
+
+// TestList guards against a follower that does not get the list of VMs, or waits for it while there is a new one, or calls
+// again and again a VM that has no list yet.
+func TestList(t *testing.T) {
+	Convey("Given a server and a follower with a list of its own", t, func() {
+		l := relay.NewLog()
+		l.Add(mirror.Batch{Whole: true, Revision: 1}, time.Now())
+		server, follower := newTable("server"), newTable("follower")
+		follower.Lead(true, "earlier", time.Now())
+		follower.Lead(false, "", time.Now())
+		peer, _ := serveList(t, l, server, follower)
+		watch := func() time.Duration {
+			start := time.Now()
+			_, err := peer.Watch(t.Context(), 1, 300*time.Millisecond)
+			So(err, ShouldBeNil)
+			return time.Since(start)
+		}
+		// The first call only says that the report is needed.
+		watch()
+		So(watch(), ShouldBeGreaterThanOrEqualTo, 300*time.Millisecond)
+		server.Lead(true, "new", time.Now())
+		watch()
+		origin, _ := follower.Position()
+		So(origin, ShouldEqual, "new")
+		time.Sleep(400 * time.Millisecond)
+		watch()
+		So(follower.Changes("", 0).VMs, ShouldHaveLength, 2)
+		So(watch(), ShouldBeGreaterThanOrEqualTo, 300*time.Millisecond)
+	})
+}
