Take a fleet for small only by its stored size

One suspect removed here: 4 s after its start a VM took the number of VMs that it knew for the size of the fleet, and followed the watcher directly if that was small.

--- a/membership/membership.go
+++ b/membership/membership.go
@@ -92,10 +92,10 @@
 	if len(relays) == 0 {
 		relays = m.config.Fleet.List()
 	}
-	// The list of a fleet that starts is incomplete.
+	// A VM may know few others of a large fleet, so that only the stored size shows that a fleet is not large.
 	size := m.config.Fleet.StoredSize()
-	if time.Since(m.start) > settleTime {
-		size, _ = m.config.Fleet.Size()
+	if size > 0 {
+		size = max(size, len(m.config.Fleet.List()))
 	}
 	return topology.New(m.config.Fleet.Self(), relays, size)
 }
