--- a/buffer/budget.go
+++ b/buffer/budget.go
@@ -107,14 +107,14 @@
 		h.size += n
 		return nil, nil, nil
 	}
-	largest, freeing := h, int64(0)
+	// freeing is the number of bytes of bodies that were cut off and are about to be released.
+	largest, largestSize, freeing := h, h.size+n, int64(0)
 	for other := range b.growing {
-		if other.evicted {
+		switch {
+		case other.evicted:
 			freeing += other.size
-			continue
-		}
-		if other != h && other.size > largest.size+n || largest != h && other.size > largest.size {
-			largest = other
+		case other.size > largestSize:
+			largest, largestSize = other, other.size
 		}
 	}
 	switch {
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -32,6 +32,8 @@
 	// drops counts the times at which the calls in progress were left without an answer.
 	drops int
 	calls int
+	// outageEnd is the end of an outage that a peer reports.
+	outageEnd time.Time
 }
 
 func (s *source) set(change func(*source)) {
@@ -60,6 +62,7 @@
 	for {
 		s.mu.Lock()
 		version, age, down, hangs, stale := s.version, s.age, s.down, s.hangs || s.drops != began, s.stale
+		outageEnd := s.outageEnd
 		s.mu.Unlock()
 		switch {
 		case ctx.Err() != nil:
@@ -68,7 +71,7 @@
 		case down:
 			return mirror.Batch{}, errDown
 		case version > after && !stale:
-			return mirror.Batch{Entries: []mirror.Entry{{Key: "rules", Revision: version}}, Revision: version, Age: age}, nil
+			return mirror.Batch{Entries: []mirror.Entry{{Key: "rules", Revision: version}}, Revision: version, Age: age, OutageEnd: outageEnd}, nil
 		case !time.Now().Before(end):
 			return mirror.Batch{Revision: after, Age: age}, nil
 		}
@@ -288,3 +291,69 @@
 		})
 	}
 }
+
+// TestFollowersAwaitRelay guards against a large fleet whose VMs all call the store while their relays, which answer, have
+// lost contact with it, and against one whose VMs get no changes because no relay answers.
+func TestFollowersAwaitRelay(t *testing.T) {
+	for name, c := range map[string]struct {
+		fault       func(*source)
+		least, most int
+	}{
+		"the relays have lost contact": {func(s *source) { s.stale, s.age = true, 3*time.Second }, 0, 0},
+		"the relays are gone":          {func(s *source) { s.down = true }, 1, 4},
+	} {
+		for _, tier := range []topology.Tier{topology.Direct, topology.Indirect} {
+			synctest.Test(t, func(t *testing.T) {
+				store, first, second := &source{version: 5}, &source{version: 5}, &source{version: 5}
+				m := newMirrorAt(tier, store, relay{}, mirror.Peer{Name: "a", Source: first}, mirror.Peer{Name: "b", Source: second})
+				_ = m.Start(t.Context())
+				time.Sleep(5 * time.Second)
+				first.set(c.fault)
+				second.set(c.fault)
+				time.Sleep(3500 * time.Millisecond)
+				if n := store.count(); n < c.least || n > c.most {
+					t.Errorf("%s, tier %d: %d calls to the store, want %d to %d", name, tier, n, c.least, c.most)
+				}
+				_ = m.Stop(t.Context())
+			})
+		}
+	}
+}
+
+// TestGraceOfFollowers guards against VMs that drop upstreams at once whose entries expired in an outage, because they did
+// not notice the outage themselves.
+func TestGraceOfFollowers(t *testing.T) {
+	for name, c := range map[string]struct {
+		sinceOutage time.Duration
+		want        int
+	}{"just after an outage": {time.Millisecond, 1}, "long after an outage": {time.Minute, 0}} {
+		synctest.Test(t, func(t *testing.T) {
+			time.Sleep(time.Hour)
+			peer, r := &source{version: 5}, roster.New()
+			log := logrus.New()
+			log.SetOutput(io.Discard)
+			m := mirror.New(mirror.Config{
+				Store: &source{down: true}, Relay: relay{}, Roster: r, Fleet: fleet.New(fleet.VM{}), OnChange: func() {},
+				Log: logrus.NewEntry(log), Discover: func(context.Context, bool) error { return nil },
+				MayReadStore: func() bool { return false },
+				Sources: func() mirror.Sources {
+					return mirror.Sources{Tier: topology.Indirect, Peers: []mirror.Peer{{Name: "a", Source: peer}}}
+				},
+				Decode: func(e mirror.Entry, _ time.Time) []mirror.Change {
+					if e.Revision > 5 {
+						return []mirror.Change{mirror.UpstreamRemoved{ID: "u"}}
+					}
+					return []mirror.Change{mirror.UpstreamPut{Upstream: roster.Upstream{ID: "u"}}}
+				},
+			})
+			_ = m.Start(t.Context())
+			time.Sleep(5 * time.Second)
+			peer.set(func(s *source) { s.version, s.outageEnd = 6, time.Now().Add(-c.sinceOutage) })
+			time.Sleep(500 * time.Millisecond)
+			if r.Len() != c.want {
+				t.Errorf("%s: %d upstreams, want %d", name, r.Len(), c.want)
+			}
+			_ = m.Stop(t.Context())
+		})
+	}
+}
--- a/presence/table.go
+++ b/presence/table.go
@@ -1,7 +1,6 @@
 package presence
 
 import (
-	"cmp"
 	"encoding/binary"
 	"hash"
 	"slices"
@@ -327,7 +326,7 @@
 	if !t.leaving {
 		vms = append(vms, t.self)
 	}
-	slices.SortFunc(vms, func(a, b fleet.VM) int { return cmp.Or(strings.Compare(a.Name, b.Name)) })
+	slices.SortFunc(vms, func(a, b fleet.VM) int { return strings.Compare(a.Name, b.Name) })
 	return vms
 }
 
--- /dev/null
+++ b/sampler/sampler_test.go
@@ -0,0 +1,62 @@
+package sampler_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fulmarhitch/fulmarhitch/condition"
+	"github.com/fulmarhitch/fulmarhitch/declaration"
+	"github.com/fulmarhitch/fulmarhitch/exchange"
+	"github.com/fulmarhitch/fulmarhitch/outcome"
+	"github.com/fulmarhitch/fulmarhitch/request"
+	"github.com/fulmarhitch/fulmarhitch/roster"
+	"github.com/fulmarhitch/fulmarhitch/sampler"
+)
+
+// poller answers each poll with a load.
+type poller struct {
+	polls atomic.Int64
+}
+
+func (p *poller) Poll(context.Context, *request.Request, declaration.Upstream) exchange.Result {
+	p.polls.Add(1)
+	return exchange.Result{
+		Class: exchange.Answered, Outcome: outcome.Answered{Status: 200}, Load: exchange.Load{Slots: 3}, HasLoad: true,
+	}
+}
+
+// TestLimits guards against polls beyond the limit, and against a change of the fleet that gives each upstream its full burst
+// again.
+func TestLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, limit := &poller{}, 2.0
+		s := sampler.New(p, condition.New(), func(roster.Upstream) float64 { return limit })
+		up := []roster.Upstream{{ID: "u", Service: "s"}}
+		poll := func(duration time.Duration) int64 {
+			before := p.polls.Load()
+			for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+				s.Poll(up, "/healthz", 6*time.Millisecond)
+			}
+			return p.polls.Load() - before
+		}
+		// 10 polls a second are wanted; 40 may be saved up.
+		if n := poll(20 * time.Second); n > 81 {
+			t.Errorf("%d polls in 20 s, at most 2 a second and 40 more", n)
+		}
+		for range 10 {
+			limit += 0.01
+			s.UpdateLimits()
+			if n := poll(time.Second); n > 4 {
+				t.Errorf("%d polls in a second after a change of the limit", n)
+			}
+		}
+		limit = 8
+		s.UpdateLimits()
+		if n := poll(10 * time.Second); n < 70 {
+			t.Errorf("%d polls in 10 s, 8 a second are allowed", n)
+		}
+	})
+}
