--- a/buffer/budget.go
+++ b/buffer/budget.go
@@ -78,12 +78,14 @@
 func (h *Hold) Grow(ctx context.Context, n int64) error {
 	for {
 		victim, changed, err := h.tryGrow(n)
-		if err != nil || changed == nil {
-			return err
-		}
 		if victim != nil {
-			victim.interrupt()
 			h.budget.onEvict(victim.name, victim.size)
+			if victim != h {
+				victim.interrupt()
+			}
+		}
+		if err != nil || changed == nil {
+			return err
 		}
 		select {
 		case <-changed:
@@ -93,8 +95,8 @@
 	}
 }
 
-// tryGrow adds the bytes if there is room. Otherwise it returns a channel to wait on, and the body to interrupt if a further
-// one has to be cut off.
+// tryGrow adds the bytes if there is room. Otherwise it returns the body that is cut off, if a further one has to be, and
+// a channel to wait on, or the error if it is this one.
 func (h *Hold) tryGrow(n int64) (victim *Hold, changed <-chan struct{}, err error) {
 	b := h.budget
 	b.mu.Lock()
@@ -123,7 +125,7 @@
 	case largest == h:
 		b.evictions++
 		h.evicted = true
-		return nil, nil, errors.Wrapf(ErrEvicted, "after %d bytes", h.size)
+		return h, nil, errors.Wrapf(ErrEvicted, "after %d bytes", h.size)
 	default:
 		b.evictions++
 		largest.evicted = true
--- a/buffer/buffer_test.go
+++ b/buffer/buffer_test.go
@@ -68,6 +68,9 @@
 			if b.Used() != 0 || b.Evictions() != uint64(bodies) {
 				t.Errorf("%s: %d bytes held, %d evictions", name, b.Used(), b.Evictions())
 			}
+			if len(evicted) != bodies {
+				t.Errorf("%s: %d evictions were reported", name, len(evicted))
+			}
 			for range len(evicted) {
 				if victim := <-evicted; victim != "endless" {
 					t.Errorf("%s: %s was cut off", name, victim)
