--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -71,6 +71,20 @@
 	return ctx.Err()
 }
 
+// numCalls returns the price of all calls.
+func (s *store) numCalls() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// latest returns the revision of the last change.
+func (s *store) latest() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
 func (s *store) put(key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -426,10 +440,10 @@
 						t.Fatalf("%s lists %d VMs", x.vm.Name, got)
 					}
 				}
-				if s.calls > float64(c.mostCalls) {
-					t.Errorf("start: %.0f calls", s.calls)
+				if s.numCalls() > float64(c.mostCalls) {
+					t.Errorf("start: %.0f calls", s.numCalls())
 				}
-				atStart := s.calls
+				atStart := s.numCalls()
 
 				n.kill(s, nodes...)
 				time.Sleep(time.Second)
@@ -438,10 +452,10 @@
 					t.Errorf("restart: %d VMs not ready after %s", missing, took)
 				}
 				time.Sleep(5 * time.Second)
-				if calls := s.calls - atStart; calls > float64(c.mostCalls) {
+				if calls := s.numCalls() - atStart; calls > float64(c.mostCalls) {
 					t.Errorf("restart: %.0f calls", calls)
 				}
-				restarted := s.calls
+				restarted := s.numCalls()
 
 				var first, others []*node
 				for _, x := range nodes {
@@ -453,7 +467,7 @@
 				}
 				n.kill(s, first...)
 				s.put("rules", nil)
-				version := s.revision
+				version := s.latest()
 				time.Sleep(c.inForce)
 				for _, x := range others {
 					if set := x.mirror.Rules(); set == nil || set.Version < version {
@@ -461,10 +475,10 @@
 					}
 				}
 				time.Sleep(5 * time.Second)
-				if calls := s.calls - restarted; calls > float64(c.mostCalls)/2 {
+				if calls := s.numCalls() - restarted; calls > float64(c.mostCalls)/2 {
 					t.Errorf("without %d VMs: %.0f calls", len(first), calls)
 				}
-				t.Logf("calls: start %.0f, restart %.0f, without %d VMs %.0f", atStart, restarted-atStart, len(first), s.calls-restarted)
+				t.Logf("calls: start %.0f, restart %.0f, without %d VMs %.0f", atStart, restarted-atStart, len(first), s.numCalls()-restarted)
 				n.kill(s, others...)
 				cancel()
 				time.Sleep(10 * time.Second)
@@ -502,7 +516,7 @@
 		}
 		n.kill(s, relays...)
 		s.put("rules", nil)
-		version := s.revision
+		version := s.latest()
 		time.Sleep(2 * time.Second)
 		for _, x := range others {
 			if set := x.mirror.Rules(); set == nil || set.Version < version {
