Interrupt a body under the lock of its budget

Found by the race detector: the size of a body that is cut off was read without the lock, and its read could be interrupted after it had ended, when its connection might already serve another request.

--- a/buffer/budget.go
+++ b/buffer/budget.go
@@ -49,14 +49,14 @@
 type Hold struct {
 	budget *Budget
 	name   string
-	// interrupt ends the read of the body.
+	// interrupt ends the read of the body; it must not block.
 	interrupt func()
 	size      int64
 	evicted   bool
 }
 
 // Open returns an empty hold for an unfinished body, whose name is used in logs. The function interrupt must end the read of
-// the body; Close has to be called in any case.
+// the body without blocking, and is called before Close only; Close has to be called in any case.
 func (b *Budget) Open(name string, interrupt func()) *Hold {
 	h := &Hold{budget: b, name: name, interrupt: interrupt}
 	b.mu.Lock()
@@ -77,12 +77,9 @@
 // which may be this one; the call then returns ErrEvicted. Otherwise it waits for the memory of the other one.
 func (h *Hold) Grow(ctx context.Context, n int64) error {
 	for {
-		victim, changed, err := h.tryGrow(n)
-		if victim != nil {
-			h.budget.onEvict(victim.name, victim.size)
-			if victim != h {
-				victim.interrupt()
-			}
+		evicted, changed, err := h.tryGrow(n)
+		if evicted != nil {
+			h.budget.onEvict(evicted.name, evicted.size)
 		}
 		if err != nil || changed == nil {
 			return err
@@ -95,9 +92,15 @@
 	}
 }
 
-// tryGrow adds the bytes if there is room. Otherwise it returns the body that is cut off, if a further one has to be, and
-// a channel to wait on, or the error if it is this one.
-func (h *Hold) tryGrow(n int64) (victim *Hold, changed <-chan struct{}, err error) {
+// eviction describes a body that was cut off.
+type eviction struct {
+	name string
+	size int64
+}
+
+// tryGrow adds the bytes if there is room. Otherwise it cuts off a body if a further one has to be, and returns a channel to
+// wait on, or the error if that body is this one.
+func (h *Hold) tryGrow(n int64) (evicted *eviction, changed <-chan struct{}, err error) {
 	b := h.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -119,18 +122,18 @@
 			largest, largestSize = other, other.size
 		}
 	}
-	switch {
-	case b.used+n-freeing <= b.limit:
+	if b.used+n-freeing <= b.limit {
 		return nil, b.changed, nil
-	case largest == h:
-		b.evictions++
-		h.evicted = true
-		return h, nil, errors.Wrapf(ErrEvicted, "after %d bytes", h.size)
-	default:
-		b.evictions++
-		largest.evicted = true
-		return largest, b.changed, nil
 	}
+	b.evictions++
+	largest.evicted = true
+	evicted = &eviction{largest.name, largest.size}
+	if largest == h {
+		return evicted, nil, errors.Wrapf(ErrEvicted, "after %d bytes", h.size)
+	}
+	// The lock keeps the other body from being closed meanwhile, after which its connection may serve another request.
+	largest.interrupt()
+	return evicted, b.changed, nil
 }
 
 // IsEvicted reports whether the body was cut off.
