Stop reading an endless answer to another request at its bound

Found by TestEndlessPolls: after the body of an answer that names another request had passed its bound, closing it read the rest, until the deadline of the request (30 s in the test). Such a body is left open and the connection closed.

--- a/exchange/attempt.go
+++ b/exchange/attempt.go
@@ -114,11 +114,11 @@
 		if err != nil || skipped == a.dialect.MaxMismatched || !a.namesOther(resp) {
 			return resp, err
 		}
-		_, err = a.readBody(ctx, resp)
-		_ = resp.Body.Close()
-		if err != nil {
+		if _, err = a.readBody(ctx, resp); err != nil {
+			// The body stays open, because its Close would read the rest of it.
 			return nil, err
 		}
+		_ = resp.Body.Close()
 	}
 }
 
--- a/exchange/endless_test.go
+++ b/exchange/endless_test.go
@@ -45,6 +45,7 @@
 	"trailers":                 {head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"},
 	"body without a length":    {head + "\r\n", "x"},
 	"body with a large length": {head + "Content-Length: 1000000000000\r\n\r\n", "x"},
+	"body of another answer":   {"HTTP/1.1 200 OK\r\nFulmarhitch-Request-Id: r0\r\nTransfer-Encoding: chunked\r\n\r\nfffffffffff\r\n", "x"},
 	"other answers":            {"", "HTTP/1.1 200 OK\r\nFulmarhitch-Request-Id: r0\r\nContent-Length: 1\r\n\r\nx"},
 }
 
@@ -120,7 +121,8 @@
 // TestEndlessAnswers guards against an answer without an end that is reported as success or as not run, that keeps its
 // connection or a goroutine, or that is read beyond a bound.
 func TestEndlessAnswers(t *testing.T) {
-	const maxAnswer, maxMemory = 1 << 20, 4 << 20
+	// maxTime is far below the deadline of the requests, and far above the time that a megabyte takes.
+	const maxAnswer, maxMemory, maxTime = 1 << 20, 4 << 20, testTimeout / 3
 	for name, answer := range endlessAnswers {
 		t.Run(name, func(t *testing.T) {
 			f := startFlood(t, answer, 0)
@@ -128,7 +130,11 @@
 			b := buffer.New(maxMemory, func(string, int64) {})
 			e := exchange.NewWithDialect(fourConnections, lenient, b)
 			defer e.Close()
+			start := time.Now()
 			res := e.Do(t.Context(), newVerbatimRequest("r1", "body"), upstream(f.Addr().String()), maxAnswer)
+			if took := time.Since(start); took > maxTime {
+				t.Errorf("read for %s", took)
+			}
 			if _, ok := res.Outcome.(outcome.Unknown); !ok {
 				t.Errorf("class %s, outcome %+v", res.Class, res.Outcome)
 			}
@@ -142,6 +148,29 @@
 	}
 }
 
+// TestEndlessPolls guards against a poll whose answer has no end and that takes memory, or its connection, for long.
+func TestEndlessPolls(t *testing.T) {
+	for name, answer := range endlessAnswers {
+		t.Run(name, func(t *testing.T) {
+			f := startFlood(t, answer, 0)
+			defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+			e := exchange.NewWithDialect(fourConnections, lenient, buffer.New(1<<20, func(string, int64) {}))
+			defer e.Close()
+			start := time.Now()
+			res := e.Poll(t.Context(), newVerbatimRequest("", ""), upstream(f.Addr().String()))
+			if took := time.Since(start); took > testTimeout/3 {
+				t.Errorf("read for %s", took)
+			}
+			if _, ok := res.Outcome.(outcome.Unknown); !ok {
+				t.Errorf("class %s, outcome %+v", res.Class, res.Outcome)
+			}
+			if !f.isClosed(closeTimeout) {
+				t.Error("the connection stays open")
+			}
+		})
+	}
+}
+
 // TestDrip guards against an answer that arrives byte by byte and is read beyond the request's deadline.
 func TestDrip(t *testing.T) {
 	const wait = 300 * time.Millisecond
