--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -152,20 +152,22 @@
 // join gets the first entries from a peer, or from the store, and returns their revision. It returns false once ctx is done.
 func (m *Mirror) join(ctx context.Context) (revision uint64, ok bool) {
 	pause := backoff.New(minDiscoveryPause, maxDiscoveryPause)
-	discoverAt, lookedTwice := time.Now(), false
+	discoverAt, searchedAgain := time.Now(), false
 	for ctx.Err() == nil {
 		if !time.Now().Before(discoverAt) {
 			m.discover(ctx, false)
 			discoverAt = time.Now().Add(pause.Next())
 		}
 		for _, p := range m.config.Sources().Peers {
-			if b, err := m.fetch(ctx, step{peer: &p, maxAge: maxAge}, 0, false); err == nil {
+			b, err := m.fetch(ctx, step{peer: &p, maxAge: maxAge}, 0, false)
+			if err == nil {
 				return b.Revision, true
 			}
+			m.config.Log.WithError(err).WithField("peer", p.Name).Debug("peer has no entries for this VM yet")
 		}
-		if !lookedTwice && len(m.config.Sources().Peers) == 0 && m.config.MayReadStore() {
+		if !searchedAgain && len(m.config.Sources().Peers) == 0 && m.config.MayReadStore() {
 			// Another VM may have become a relay a short time ago, and following it is much cheaper.
-			lookedTwice = true
+			searchedAgain = true
 			m.discover(ctx, true)
 			continue
 		}
