--- a/forwarder/choose.go
+++ b/forwarder/choose.go
@@ -47,8 +47,8 @@
 // acquire waits for an upstream that is expected to answer in time, and returns it or the reason why there is none.
 //
 // Waiting here keeps the queues of the upstreams short: a request queued at an upstream can neither move to one that
-// becomes free nor yield to a more urgent request. A request that can no longer be answered in time takes a slot of an
-// upstream that has another one free, such as a slow one, which other requests avoid, or is refused.
+// becomes free nor yield to a more urgent request. A request that can no longer be answered in time takes a free slot of a
+// slow upstream, which other requests avoid, or is refused.
 func (r *run) acquire(ctx context.Context) (*choice, outcome.Outcome) {
 	usual := r.config.Times.Usual(r.job.Rule)
 	target := r.target()
@@ -63,7 +63,7 @@
 		case c == nil:
 		case waited+time.Duration(c.expectedTime*float64(usual)) <= target && r.mayTakeSlot(c):
 			return c, nil
-		case late && selection.FreeSlots(c.Candidate) > 1:
+		case late && selection.FreeSlots(c.Candidate) > 0:
 			return c, nil
 		case late:
 			return nil, outcome.NotRun{Reason: outcome.QueueFull}
