--- a/buffer/budget.go
+++ b/buffer/budget.go
@@ -136,11 +136,14 @@
 	return evicted, b.changed, nil
 }
 
-// IsEvicted reports whether the body was cut off.
-func (h *Hold) IsEvicted() bool {
+// mark marks an error of the read of the body as ErrEvicted if the body was cut off.
+func (h *Hold) mark(err error) error {
 	h.budget.mu.Lock()
 	defer h.budget.mu.Unlock()
-	return h.evicted
+	if h.evicted {
+		return errors.Mark(err, ErrEvicted)
+	}
+	return err
 }
 
 // Close releases the hold; further calls do nothing.
--- a/buffer/read.go
+++ b/buffer/read.go
@@ -18,7 +18,7 @@
 var ErrTooLarge = errors.New("body is larger than the limit")
 
 // Read reads a body of at most limit bytes to its end. Memory is taken as the body arrives, whatever length was announced.
-// After an error, no part of the body is returned.
+// After an error, no part of the body is returned; the error is ErrEvicted if the body was cut off.
 func Read(ctx context.Context, r io.Reader, limit int64, h *Hold) ([]byte, error) {
 	var parts []*[segmentSize]byte
 	defer func() {
@@ -42,7 +42,7 @@
 		case errors.Is(err, io.EOF):
 			return join(ctx, parts, size, h)
 		case err != nil:
-			return nil, err
+			return nil, h.mark(err)
 		}
 	}
 }
--- a/exchange/answer.go
+++ b/exchange/answer.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -81,15 +80,10 @@
 	case length < 0 && len(resp.TransferEncoding) == 0 && !a.dialect.AllowCloseDelimited:
 		return nil, errUnmarked
 	}
-	c := a.conn
-	hold := a.bodies.Open(a.request.ID, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	hold := a.bodies.Open(a.request.ID, a.conn.interrupt)
 	defer hold.Close()
 	if length < 0 || length > maxDirectBody {
-		body, err := buffer.Read(ctx, resp.Body, int64(a.maxAnswer), hold)
-		if err != nil && hold.IsEvicted() {
-			err = errors.Mark(err, buffer.ErrEvicted)
-		}
-		return body, err
+		return buffer.Read(ctx, resp.Body, int64(a.maxAnswer), hold)
 	}
 	if err := hold.Grow(ctx, length); err != nil {
 		return nil, err
--- a/exchange/attempt.go
+++ b/exchange/attempt.go
@@ -62,7 +62,7 @@
 	c := a.conn
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stop := context.AfterFunc(attemptCtx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(attemptCtx, c.interrupt)
 	resp, written, err := a.roundTrip(attemptCtx, req)
 	if err != nil {
 		stop()
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -95,6 +95,11 @@
 	return n, err
 }
 
+// interrupt ends the reads and writes in progress and makes further ones fail.
+func (c *conn) interrupt() {
+	_ = c.SetDeadline(time.Unix(1, 0))
+}
+
 // abort closes the connection and reports whether a byte of the current request may have been written. No byte is written
 // after it returns.
 func (c *conn) abort() bool {
--- a/ingress/handle.go
+++ b/ingress/handle.go
@@ -157,7 +157,7 @@
 	switch {
 	case errors.Is(err, buffer.ErrTooLarge):
 		return nil, &errorResponse{status: http.StatusRequestEntityTooLarge, text: "body exceeds " + strconv.FormatInt(limit, 10) + " bytes"}
-	case errors.Is(err, buffer.ErrEvicted) || hold.IsEvicted():
+	case errors.Is(err, buffer.ErrEvicted):
 		return nil, &errorResponse{http.StatusServiceUnavailable, "too-large: no room for the body", retryAfterUnready}
 	case err != nil:
 		return nil, &errorResponse{status: http.StatusBadRequest, text: "body: " + err.Error()}
