--- a/ingress/handle.go
+++ b/ingress/handle.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"log"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -34,12 +33,6 @@
 	retryAfterUnready = 500 * time.Millisecond
 )
 
-// discardLogger returns a logger for the HTTP server. Its lines on broken connections add nothing to those that this
-// package logs itself.
-func discardLogger() *log.Logger {
-	return log.New(io.Discard, "", 0)
-}
-
 // errorResponse is an answer that the VM itself gives instead of an upstream.
 type errorResponse struct {
 	status int
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"log"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 )
 
 const (
@@ -51,7 +54,7 @@
 	}
 	s.http = &http.Server{
 		Handler: http.HandlerFunc(s.serve), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout,
-		ConnState: s.trackIdle, ErrorLog: discardLogger(), DisableGeneralOptionsHandler: true,
+		ConnState: s.trackIdle, ErrorLog: log.New(errorLog{c.Log}, "", 0), DisableGeneralOptionsHandler: true,
 	}
 	return s
 }
@@ -120,20 +123,36 @@
 			return
 		case now := <-ticker.C:
 			if set := s.config.Rules(); set != nil && set.Limits.IdleTimeout > 0 {
-				s.closeIdle(now.Add(-set.Limits.IdleTimeout - idleSlack))
+				if n := s.closeIdle(now.Add(-set.Limits.IdleTimeout - idleSlack)); n > 0 {
+					s.config.Metrics.ClosedIdle(n)
+					s.config.Log.WithFields(logrus.Fields{"connections": n, "limit-ms": set.Limits.IdleTimeout.Milliseconds()}).Info("idle connections of callers closed")
+				}
 			}
 		}
 	}
 }
 
-// closeIdle closes the connections that became idle before the limit.
-func (s *Server) closeIdle(limit time.Time) {
+// closeIdle closes the connections that became idle before the limit and returns their number.
+func (s *Server) closeIdle(limit time.Time) (closed int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c, since := range s.idle {
 		if since.Before(limit) {
 			_ = c.Close()
 			delete(s.idle, c)
+			closed++
 		}
 	}
+	return closed
+}
+
+// errorLog writes the errors that the HTTP server reports, such as panics of the handler, to the log.
+type errorLog struct {
+	log *logrus.Entry
+}
+
+// Write writes one report.
+func (e errorLog) Write(p []byte) (int, error) {
+	e.log.WithField("error", strings.TrimSpace(string(p))).Warn("HTTP server for callers reports an error")
+	return len(p), nil
 }
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/fulmarhitch/fulmarhitch/buffer"
@@ -37,27 +38,44 @@
 
 // startServerAt is like startServer with rules of the age.
 func startServerAt(t *testing.T, out outcome.Outcome, idle, rulesAge time.Duration) (*ingress.Server, string) {
+	l := listen(t)
+	set := newRules(idle)
+	c := newConfig(fixedForwarder{out}, func() *ruleset.Set { return set })
+	c.RulesAge = func() time.Duration { return rulesAge }
+	s := ingress.New(l, c)
+	_ = s.Start(context.Background())
+	return s, l.Addr().String()
+}
+
+func listen(t *testing.T) net.Listener {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	return l
+}
+
+// newRules returns rules with one rule for the host h and the idle timeout.
+func newRules(idle time.Duration) *ruleset.Set {
+	return ruleset.New(1, []*ruleset.Rule{{Name: "r", Host: "h", Prefix: "/", Parts: []ruleset.Part{{Service: "s", Weight: 1}}}}, nil,
+		ruleset.Limits{IdleTimeout: idle})
+}
+
+// newConfig returns a configuration with rules that have just been confirmed, and a log without output.
+func newConfig(f ingress.Forwarder, rules func() *ruleset.Set) ingress.Config {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	zero := func() float64 { return 0 }
-	set := ruleset.New(1, []*ruleset.Rule{{Name: "r", Host: "h", Prefix: "/", Parts: []ruleset.Part{{Service: "s", Weight: 1}}}}, nil,
-		ruleset.Limits{IdleTimeout: idle})
-	s := ingress.New(l, ingress.Config{
-		Dialect: ingress.Dialect{RequestID: "Id", Deadline: "Deadline"}, Forwarder: fixedForwarder{out},
-		Rules: func() *ruleset.Set { return set }, RulesAge: func() time.Duration { return rulesAge },
+	return ingress.Config{
+		Dialect: ingress.Dialect{RequestID: "Id", Deadline: "Deadline"}, Forwarder: f,
+		Rules: rules, RulesAge: func() time.Duration { return 0 },
 		MaxRulesAge: 2 * time.Second, Bodies: buffer.New(maxBodies, func(string, int64) {}),
 		Pick: func(r *ruleset.Rule) string { return r.Parts[0].Service }, Log: logrus.NewEntry(log),
 		Metrics: telemetry.New(telemetry.Sources{
 			RulesVersion: zero, StoreAge: zero, Upstreams: zero, VMs: zero, Polls: zero, LogDropped: zero,
 			BodyBytes: zero, Evictions: zero, StoreCalls: func() map[string]uint64 { return nil },
 		}),
-	})
-	_ = s.Start(context.Background())
-	return s, l.Addr().String()
+	}
 }
 
 func call(address string) (*http.Response, error) {
@@ -150,6 +168,29 @@
 	}
 }
 
+// panicForwarder panics at each request.
+type panicForwarder struct{}
+
+func (panicForwarder) Serve(context.Context, forwarder.Job) forwarder.Result { panic("a bug") }
+
+// TestPanicIsLogged guards against requests that end without an answer and without a log line.
+func TestPanicIsLogged(t *testing.T) {
+	Convey("Given a forwarder that panics", t, func() {
+		l := listen(t)
+		set := newRules(0)
+		c := newConfig(panicForwarder{}, func() *ruleset.Set { return set })
+		hook := test.NewLocal(c.Log.Logger)
+		s := ingress.New(l, c)
+		_ = s.Start(context.Background())
+		defer func() { _ = s.Stop(context.Background()) }()
+		_, err := call(l.Addr().String())
+		So(err, ShouldNotBeNil)
+		So(hook.LastEntry(), ShouldNotBeNil)
+		So(hook.LastEntry().Level, ShouldEqual, logrus.WarnLevel)
+		So(hook.LastEntry().Data["error"], ShouldContainSubstring, "a bug")
+	})
+}
+
 // TestEndlessBody guards against a request body without an end that takes more memory than there is.
 func TestEndlessBody(t *testing.T) {
 	Convey("Given a request whose body exceeds the memory for bodies", t, func() {
--- a/telemetry/doc.go
+++ b/telemetry/doc.go
@@ -4,6 +4,7 @@
 //	fulmarhitch_requests_total{rule,outcome,reason}     outcomes of forwarded requests
 //	fulmarhitch_refusals_total{status}                  requests that were not forwarded
 //	fulmarhitch_attempts_total{rule,end}                attempts by the way they ended
+//	fulmarhitch_idle_closes_total                       connections of callers that were closed because they were idle
 //	fulmarhitch_hedges_total{rule}                      hedges: second attempts while the first was in progress
 //	fulmarhitch_questions_total                         polls of health endpoints
 //	fulmarhitch_store_calls_total{purpose}              calls of the store: search, read, watch, register, renew, release, death, size
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -36,6 +36,7 @@
 	durations          *prometheus.HistogramVec
 	requests, attempts *prometheus.CounterVec
 	refusals, hedges   *prometheus.CounterVec
+	idleCloses         prometheus.Counter
 
 	mu    sync.Mutex
 	rules map[string]bool
@@ -52,7 +53,10 @@
 	m.attempts = counter("attempts_total", "Sends to upstreams by their ends.", "rule", "end")
 	m.refusals = counter("refusals_total", "Requests that were not forwarded.", "status")
 	m.hedges = counter("hedges_total", "Second sends while the first was in progress.", "rule")
-	m.registry.MustRegister(m.durations, m.requests, m.attempts, m.refusals, m.hedges)
+	m.idleCloses = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: namespace, Name: "idle_closes_total", Help: "Connections of callers that were closed because they were idle.",
+	})
+	m.registry.MustRegister(m.durations, m.requests, m.attempts, m.refusals, m.hedges, m.idleCloses)
 	m.registry.MustRegister(storeCalls(s.StoreCalls))
 	m.registerFunc("rules_version", "Version of the rules in force.", s.RulesVersion)
 	m.registerFunc("store_age_seconds", "Time since the store was last heard.", s.StoreAge)
@@ -127,6 +131,11 @@
 	m.refusals.WithLabelValues(strconv.Itoa(status)).Inc()
 }
 
+// ClosedIdle counts connections of callers that were closed because they were idle.
+func (m *Metrics) ClosedIdle(n int) {
+	m.idleCloses.Add(float64(n))
+}
+
 // label returns the label value of the rule: "other" for a new one once there are maxRules.
 func (m *Metrics) label(rule string) string {
 	m.mu.Lock()
