Close idle connections of callers only if no request has been read from them

The request was forwarded and not answered. Callers were not told the limit, so they used connections up to 20.0 s idle, which the VMs closed after 17 s. Besides, a connection counted as idle until the whole head had been read, and a lower limit counted at once.

Change: package keepalive announces the limit and ends the pending read of an idle connection in place of closing it; a byte that has been read keeps it open. Shutdown of net/http is no longer used, as it drops a request that it has just read.

Ruled out: panics (none logged), requests in progress (all that ended as cancelled had at most 4 ms left).

--- a/ingress/handle.go
+++ b/ingress/handle.go
@@ -13,6 +13,7 @@
 
 	"github.com/fulmarhitch/fulmarhitch/buffer"
 	"github.com/fulmarhitch/fulmarhitch/forwarder"
+	"github.com/fulmarhitch/fulmarhitch/keepalive"
 	"github.com/fulmarhitch/fulmarhitch/outcome"
 	"github.com/fulmarhitch/fulmarhitch/request"
 	"github.com/fulmarhitch/fulmarhitch/ruleset"
@@ -49,6 +50,8 @@
 	defer s.inProgress.Add(-1)
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
+	} else if set := s.config.Rules(); set != nil {
+		keepalive.Announce(r, w.Header(), set.Limits.IdleTimeout)
 	}
 	job, resp := s.admit(w, r, arrived)
 	if job.Request != nil {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -12,6 +12,9 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
+
+	"github.com/fulmarhitch/fulmarhitch/backoff"
+	"github.com/fulmarhitch/fulmarhitch/keepalive"
 )
 
 const (
@@ -19,10 +22,10 @@
 	maxHeaderBytes = 256 << 10
 	// headerTimeout bounds the time that a caller takes to send the headers of a request.
 	headerTimeout = 10 * time.Second
-	// idleSlack is added to the rules' idle timeout, because callers reuse a connection until shortly before it.
-	idleSlack = 2 * time.Second
 	// sweepInterval is the time between two checks of the idle connections.
 	sweepInterval = time.Second
+	// closeInterval is the time between two checks of the open connections while the server stops.
+	closeInterval = 10 * time.Millisecond
 	// maxBodyBytes bounds the body of a request for which the rules state no limit.
 	maxBodyBytes = 64 << 20
 )
@@ -30,7 +33,7 @@
 // Server serves callers. It is a kernel service.
 type Server struct {
 	config   Config
-	listener net.Listener
+	listener *keepalive.Listener
 	http     *http.Server
 
 	draining, refusing atomic.Bool
@@ -40,21 +43,17 @@
 	lastArrival atomic.Int64
 	start       time.Time
 
-	mu sync.Mutex
-	// idle holds the idle connections with the time since which each is idle.
-	idle map[net.Conn]time.Time
 	stop chan struct{}
 	done sync.WaitGroup
 }
 
 // New returns a server that accepts connections from the listener.
 func New(listener net.Listener, c Config) *Server {
-	s := &Server{
-		config: c, listener: listener, start: time.Now(), idle: make(map[net.Conn]time.Time), stop: make(chan struct{}),
-	}
+	s := &Server{config: c, listener: keepalive.New(listener), start: time.Now(), stop: make(chan struct{})}
 	s.http = &http.Server{
 		Handler: http.HandlerFunc(s.serve), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout,
-		ConnState: s.trackIdle, ErrorLog: log.New(errorLog{c.Log}, "", 0), DisableGeneralOptionsHandler: true,
+		ConnState: s.listener.ConnState, ConnContext: s.listener.ConnContext,
+		ErrorLog: log.New(errorLog{c.Log}, "", 0), DisableGeneralOptionsHandler: true,
 	}
 	return s
 }
@@ -62,7 +61,7 @@
 // Start begins to accept connections.
 func (s *Server) Start(context.Context) error {
 	s.done.Go(func() {
-		if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.http.Serve(s.listener); !errors.IsAny(err, http.ErrServerClosed, net.ErrClosed) {
 			s.config.Log.WithError(err).Error("HTTP server for callers failed")
 		}
 	})
@@ -91,27 +90,25 @@
 }
 
 // Stop closes the listener, waits for the requests in progress until ctx is done, and closes the connections.
+//
+// Shutdown of the HTTP server isn't used because it closes a connection from which a request has just been read.
 func (s *Server) Stop(ctx context.Context) error {
 	close(s.stop)
-	err := s.http.Shutdown(ctx)
-	if err != nil {
-		err = errors.CombineErrors(err, s.http.Close())
+	s.Drain()
+	err := s.listener.Close()
+	for s.listener.Len() > 0 && backoff.Sleep(ctx, closeInterval) {
+		s.listener.CloseIdle(time.Now())
+	}
+	if s.listener.Len() > 0 {
+		err = errors.CombineErrors(err, ctx.Err())
+	}
+	if closeErr := s.http.Close(); !errors.Is(closeErr, net.ErrClosed) {
+		err = errors.CombineErrors(err, closeErr)
 	}
 	s.done.Wait()
 	return err
 }
 
-// trackIdle records the times since which connections are idle.
-func (s *Server) trackIdle(c net.Conn, state http.ConnState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if state == http.StateIdle {
-		s.idle[c] = time.Now()
-		return
-	}
-	delete(s.idle, c)
-}
-
 // sweep periodically closes connections that have been idle for longer than the rules allow. The HTTP server's own timeout
 // can't follow a change of the rules.
 func (s *Server) sweep() {
@@ -122,30 +119,14 @@
 		case <-s.stop:
 			return
 		case now := <-ticker.C:
-			if set := s.config.Rules(); set != nil && set.Limits.IdleTimeout > 0 {
-				if n := s.closeIdle(now.Add(-set.Limits.IdleTimeout - idleSlack)); n > 0 {
-					s.config.Metrics.ClosedIdle(n)
-					s.config.Log.WithFields(logrus.Fields{"connections": n, "limit-ms": set.Limits.IdleTimeout.Milliseconds()}).Info("idle connections of callers closed")
-				}
+			if n := s.listener.CloseExpired(now); n > 0 {
+				s.config.Metrics.ClosedIdle(n)
+				s.config.Log.WithField("connections", n).Info("idle connections of callers closed")
 			}
 		}
 	}
 }
 
-// closeIdle closes the connections that became idle before the limit and returns their number.
-func (s *Server) closeIdle(limit time.Time) (closed int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c, since := range s.idle {
-		if since.Before(limit) {
-			_ = c.Close()
-			delete(s.idle, c)
-			closed++
-		}
-	}
-	return closed
-}
-
 // errorLog writes the errors that the HTTP server reports, such as panics of the handler, to the log.
 type errorLog struct {
 	log *logrus.Entry
--- /dev/null
+++ b/keepalive/keepalive_test.go
@@ -0,0 +1,126 @@
+package keepalive_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fulmarhitch/fulmarhitch/keepalive"
+)
+
+// connect returns a listener and both ends of a connection that it has accepted.
+func connect() (l *keepalive.Listener, caller, server net.Conn, err error) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	l = keepalive.New(inner)
+	if caller, err = net.Dial("tcp", inner.Addr().String()); err != nil {
+		return nil, nil, nil, err
+	}
+	server, err = l.Accept()
+	return l, caller, server, err
+}
+
+// TestReadAfterExpiry guards against requests that have arrived at a connection when it is closed as idle, and get lost.
+func TestReadAfterExpiry(t *testing.T) {
+	Convey("Given a connection that expires", t, func() {
+		l, caller, server, err := connect()
+		So(err, ShouldBeNil)
+		defer func() { _ = l.Close() }()
+		defer func() { _ = caller.Close() }()
+		l.ConnState(server, http.StateIdle)
+		b := make([]byte, 8)
+
+		Convey("a request that has arrived is read, and the connection remains usable", func() {
+			_, err := io.WriteString(caller, "one")
+			So(err, ShouldBeNil)
+			time.Sleep(10 * time.Millisecond)
+			So(l.CloseIdle(time.Now()), ShouldEqual, 1)
+			n, err := server.Read(b)
+			So(err, ShouldBeNil)
+			So(string(b[:n]), ShouldEqual, "one")
+			So(l.CloseIdle(time.Now()), ShouldEqual, 0)
+			_, err = io.WriteString(caller, "two")
+			So(err, ShouldBeNil)
+			n, err = server.Read(b)
+			So(err, ShouldBeNil)
+			So(string(b[:n]), ShouldEqual, "two")
+		})
+
+		Convey("a read without a request ends", func() {
+			So(l.CloseIdle(time.Now()), ShouldEqual, 1)
+			n, err := server.Read(b)
+			So(n, ShouldEqual, 0)
+			So(errors.Is(err, os.ErrDeadlineExceeded), ShouldBeTrue)
+			So(server.Close(), ShouldBeNil)
+			So(l.Len(), ShouldEqual, 0)
+		})
+
+		Convey("a request that was read before is served", func() {
+			So(l.CloseIdle(time.Now()), ShouldEqual, 1)
+			l.ConnState(server, http.StateActive)
+			So(l.CloseIdle(time.Now()), ShouldEqual, 0)
+			_, err := io.WriteString(caller, "body")
+			So(err, ShouldBeNil)
+			n, err := server.Read(b)
+			So(err, ShouldBeNil)
+			So(string(b[:n]), ShouldEqual, "body")
+		})
+	})
+}
+
+// TestCloseIdleSparesNewConnections guards against a first request that is lost because it takes as long as the connection to
+// arrive.
+func TestCloseIdleSparesNewConnections(t *testing.T) {
+	Convey("Given a new connection without a request", t, func() {
+		l, caller, server, err := connect()
+		So(err, ShouldBeNil)
+		defer func() { _ = l.Close() }()
+		defer func() { _ = caller.Close() }()
+		defer func() { _ = server.Close() }()
+		So(l.CloseIdle(time.Now()), ShouldEqual, 0)
+		So(l.CloseIdle(time.Now().Add(time.Second)), ShouldEqual, 1)
+	})
+}
+
+// TestAnnounce guards against connections that are closed earlier than their callers were told.
+func TestAnnounce(t *testing.T) {
+	tests := map[string]struct {
+		timeout time.Duration
+		header  string
+		// openFor is the time for which the connection is not closed, or 0 if it never is.
+		openFor time.Duration
+	}{
+		"whole seconds":      {15 * time.Second, "timeout=15", 15 * time.Second},
+		"less than a second": {200 * time.Millisecond, "timeout=1", time.Second},
+		"part of a second":   {2500 * time.Millisecond, "timeout=3", 3 * time.Second},
+		"no limit":           {0, "", 0},
+		"no limit, negative": {-time.Second, "", 0},
+	}
+	for name, tt := range tests {
+		Convey("Given "+name, t, func() {
+			l, caller, server, err := connect()
+			So(err, ShouldBeNil)
+			defer func() { _ = l.Close() }()
+			defer func() { _ = caller.Close() }()
+			defer func() { _ = server.Close() }()
+			r, err := http.NewRequestWithContext(l.ConnContext(context.Background(), server), http.MethodGet, "http://h/", nil)
+			So(err, ShouldBeNil)
+			h := make(http.Header)
+			keepalive.Announce(r, h, tt.timeout)
+			So(h.Get("Keep-Alive"), ShouldEqual, tt.header)
+			l.ConnState(server, http.StateIdle)
+			now := time.Now()
+			So(l.CloseExpired(now.Add(tt.openFor)), ShouldEqual, 0)
+			So(l.CloseExpired(now.Add(time.Hour)) == 1, ShouldEqual, tt.openFor > 0)
+		})
+	}
+}
