Refuse requests that a stopping VM may not be able to answer in time

A VM that stops accepted requests until 1.8 s before its end, whatever their deadline. One that takes longer was interrupted when the process was killed, and its caller could not know whether it had run.

Change: while it drains, a VM refuses as not run what has its deadline after the end of the process, with the short Retry-After of a refusal that another VM can serve at once. TestDrainRefusesWhatItCannotAnswer covers it.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -298,21 +298,21 @@
 	drainCheckInterval = 20 * time.Millisecond
 )
 
-// Drain is the first part of a graceful shutdown. It tells callers to connect elsewhere, and still serves new requests until
-// the last part of the stop timeout.
+// Drain is the first part of a graceful shutdown. It tells callers to connect elsewhere, and still serves new requests that end
+// within the stop timeout.
 func (g *Gateway) Drain(ctx context.Context) error {
 	start := time.Now()
 	g.leaving.Store(true)
 	g.membership.Leave()
 	g.mirror.Interrupt()
-	g.ingress.Drain()
+	limit := g.settings.Load().StopTimeout
+	g.ingress.Drain(start.Add(limit - exitReserve))
 	g.log.Info("graceful shutdown started")
 	go func() {
 		if err := g.registration.Stop(ctx); err != nil {
 			g.log.WithError(err).Warn("failed to remove the registration")
 		}
 	}()
-	limit := g.settings.Load().StopTimeout
 	for {
 		time.Sleep(drainCheckInterval)
 		elapsed, running := time.Since(start), g.ingress.Running()
--- a/ingress/handle.go
+++ b/ingress/handle.go
@@ -24,8 +24,8 @@
 	defaultTimeout = 30 * time.Second
 	// maxTimeout bounds the deadline that a caller states.
 	maxTimeout = 10 * time.Minute
-	// retryAfterRefusal is the delay for a request that an upstream refused while others may accept it: only this VM's
-	// share of the retries and hedges was used up.
+	// retryAfterRefusal is the delay for a request that others may accept: an upstream refused it and this VM's share of the
+	// retries and hedges was used up, or this VM stops.
 	retryAfterRefusal = 30 * time.Millisecond
 	// retryAfterOverload is the delay after which an upstream may have a free slot, because a short slowdown of its host lasts
 	// about 500 ms.
@@ -96,6 +96,9 @@
 	if resp != nil {
 		return noJob, resp
 	}
+	if s.endsBefore(deadline) {
+		return noJob, &errorResponse{http.StatusServiceUnavailable, "stopping: the VM ends before the deadline", retryAfterRefusal}
+	}
 	body, resp := s.readBody(w, r, set, deadline)
 	if resp != nil {
 		// The rest of the body is not read, so the connection can't carry another request.
--- a/ingress/idle_test.go
+++ b/ingress/idle_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -229,3 +231,44 @@
 		So(answered, ShouldEqual, forwarded.Load())
 	})
 }
+
+// TestDrainRefusesWhatItCannotAnswer guards against requests that a graceful shutdown accepts and then interrupts, because they
+// may take longer than the process lives.
+func TestDrainRefusesWhatItCannotAnswer(t *testing.T) {
+	tests := map[string]struct {
+		// left is the time until the process ends, and timeout the request's deadline.
+		left, timeout time.Duration
+		status        int
+	}{
+		"ends before the process": {3 * time.Second, 2 * time.Second, http.StatusOK},
+		"ends with the process":   {2 * time.Second, 2 * time.Second, http.StatusOK},
+		"may end after it":        {time.Second, 2 * time.Second, http.StatusServiceUnavailable},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				Convey("Given a request that "+name, t, func() {
+					set := newRules(0)
+					l := newPipeListener()
+					s := ingress.New(l, newConfig(fixedForwarder{outcome.Answered{Status: http.StatusOK}}, func() *ruleset.Set { return set }))
+					_ = s.Start(t.Context())
+					defer func() { _ = s.Stop(context.Background()) }()
+					s.Drain(time.Now().Add(tt.left))
+					c := l.dial()
+					defer func() { _ = c.Close() }()
+					_, err := fmt.Fprintf(c, "GET /x HTTP/1.1\r\nHost: h\r\nId: 1\r\nDeadline: %d\r\n\r\n", tt.timeout.Milliseconds())
+					So(err, ShouldBeNil)
+					resp, err := readAnswer(c)
+					So(err, ShouldBeNil)
+					So(resp.StatusCode, ShouldEqual, tt.status)
+					So(resp.Close, ShouldBeTrue)
+					if tt.status == http.StatusServiceUnavailable {
+						after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+						So(err, ShouldBeNil)
+						So(after, ShouldBeLessThan, 0.05)
+					}
+				})
+			})
+		})
+	}
+}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -37,6 +37,8 @@
 	http     *http.Server
 
 	draining, refusing atomic.Bool
+	// end is the time at which the process ends, in ns since start; it is valid while draining.
+	end atomic.Int64
 	// inProgress is the number of requests in progress.
 	inProgress atomic.Int64
 	// lastArrival is the time at which the latest request arrived, in ns since start.
@@ -69,11 +71,18 @@
 	return nil
 }
 
-// Drain makes each answer close its connection, so that callers connect elsewhere.
-func (s *Server) Drain() {
+// Drain makes each answer close its connection, so that callers connect elsewhere, and refuses the requests that may not be
+// answered before the process ends.
+func (s *Server) Drain(end time.Time) {
+	s.end.Store(int64(end.Sub(s.start)))
 	s.draining.Store(true)
 }
 
+// endsBefore reports whether the process ends before the deadline.
+func (s *Server) endsBefore(deadline time.Time) bool {
+	return s.draining.Load() && deadline.Sub(s.start) > time.Duration(s.end.Load())
+}
+
 // Refuse makes the server answer requests that arrive from now on with status 503, without forwarding them.
 func (s *Server) Refuse() {
 	s.refusing.Store(true)
@@ -94,7 +103,13 @@
 // Shutdown of the HTTP server isn't used because it closes a connection from which a request has just been read.
 func (s *Server) Stop(ctx context.Context) error {
 	close(s.stop)
-	s.Drain()
+	if !s.draining.Load() {
+		end, ok := ctx.Deadline()
+		if !ok {
+			end = time.Now().Add(maxTimeout)
+		}
+		s.Drain(end)
+	}
 	err := s.listener.Close()
 	for s.listener.Len() > 0 && backoff.Sleep(ctx, closeInterval) {
 		s.listener.CloseIdle(time.Now())
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -127,7 +127,7 @@
 func TestStop(t *testing.T) {
 	Convey("Given a server that drains and then refuses", t, func() {
 		s, address := startServer(t, outcome.Answered{Status: 200}, 0)
-		s.Drain()
+		s.Drain(time.Now().Add(time.Hour))
 		resp, err := call(address)
 		So(err, ShouldBeNil)
 		So(resp.StatusCode, ShouldEqual, 200)
