Do not interrupt the connection of a body that has been read completely

Callers would see: a whole request, with a body, whose connection ends without an answer.

Cause: the hold of a body stays open from the last byte until readBody has returned. A body that needs room in that time cuts off the largest one, also if it is complete: its connection gets a read deadline in the past, the background read of net/http fails and cancels the context of the request, which is forwarded, ends as cancelled and is not answered.

Change: Read notes atomically that the body is complete, and fails with ErrEvicted if it was cut off before. A complete body isn't cut off; others wait for its memory, which is released right after.

--- a/buffer/budget.go
+++ b/buffer/budget.go
@@ -53,10 +53,13 @@
 	interrupt func()
 	size      int64
 	evicted   bool
+	// complete is true once the whole body has been read; the hold is about to be closed.
+	complete bool
 }
 
 // Open returns an empty hold for an unfinished body, whose name is used in logs. The function interrupt must end the read of
-// the body without blocking, and is called before Close only; Close has to be called in any case.
+// the body without blocking, and isn't called once Read has returned the body or Close has been called. Close has to be called
+// in any case.
 func (b *Budget) Open(name string, interrupt func()) *Hold {
 	h := &Hold{budget: b, name: name, interrupt: interrupt}
 	b.mu.Lock()
@@ -112,11 +115,11 @@
 		h.size += n
 		return nil, nil, nil
 	}
-	// freeing is the number of bytes of bodies that were cut off and are about to be released.
+	// freeing is the number of bytes of bodies that were cut off or are complete, and are about to be released.
 	largest, largestSize, freeing := h, h.size+n, int64(0)
 	for other := range b.growing {
 		switch {
-		case other.evicted:
+		case other.evicted, other.complete:
 			freeing += other.size
 		case other.size > largestSize:
 			largest, largestSize = other, other.size
@@ -136,6 +139,17 @@
 	return evicted, b.changed, nil
 }
 
+// finish notes that the whole body has been read, after which it is not cut off. It returns ErrEvicted if it was before.
+func (h *Hold) finish() error {
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	if h.evicted {
+		return ErrEvicted
+	}
+	h.complete = true
+	return nil
+}
+
 // mark marks an error of the read of the body as ErrEvicted if the body was cut off.
 func (h *Hold) mark(err error) error {
 	h.budget.mu.Lock()
--- a/buffer/read.go
+++ b/buffer/read.go
@@ -52,6 +52,9 @@
 	if err := h.Grow(ctx, size); err != nil {
 		return nil, err
 	}
+	if err := h.finish(); err != nil {
+		return nil, err
+	}
 	body := make([]byte, 0, size)
 	for _, p := range parts {
 		body = append(body, p[:min(segmentSize, size-int64(len(body)))]...)
