Bound the time between the first bytes of a request from a caller

It stays open for good, and a graceful shutdown waits for it until its time is up.

Change: the first bytes read from an idle connection start a read deadline of 10 s. net/http replaces it at the fourth byte and clears it once the head has been read, so a request in progress never has it.

Evidence: before, TestStrayBytes fails: the connection is open after a minute (expected EOF, got a deadline exceeded). After, ./keepalive and ./ingress pass with -race -count=2.

--- a/ingress/idle_test.go
+++ b/ingress/idle_test.go
@@ -272,3 +272,26 @@
 		})
 	}
 }
+
+// TestStrayBytes guards against connections that stay open for good, because their caller sent a few bytes after a request and
+// no further request.
+func TestStrayBytes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given a connection with stray bytes after a request", t, func() {
+			set := newRules(15 * time.Second)
+			l := newPipeListener()
+			s := ingress.New(l, newConfig(fixedForwarder{outcome.Answered{Status: http.StatusOK}}, func() *ruleset.Set { return set }))
+			_ = s.Start(t.Context())
+			c := l.dial()
+			_, err := exchange(c)
+			So(err, ShouldBeNil)
+			_, err = io.WriteString(c, "\r\n")
+			So(err, ShouldBeNil)
+			So(c.SetReadDeadline(time.Now().Add(time.Minute)), ShouldBeNil)
+			_, readErr := c.Read(make([]byte, 1))
+			So(c.Close(), ShouldBeNil)
+			So(s.Stop(context.Background()), ShouldBeNil)
+			So(readErr, ShouldEqual, io.EOF)
+		})
+	})
+}
--- a/keepalive/conn.go
+++ b/keepalive/conn.go
@@ -13,6 +13,10 @@
 // as after the process was paused.
 const lastRead = time.Millisecond
 
+// firstBytesTimeout bounds the time from the first byte of a request to the next. The timeout of the HTTP server for the head
+// of a request starts only with its fourth byte.
+const firstBytesTimeout = 10 * time.Second
+
 // conn is a connection that knows whether a request is being read from it.
 type conn struct {
 	net.Conn
@@ -43,7 +47,7 @@
 	if n == 0 {
 		return n, err
 	}
-	if activeErr := c.setActive(); err == nil {
+	if activeErr := c.setReading(); err == nil {
 		err = activeErr
 	}
 	return n, err
@@ -75,7 +79,18 @@
 	c.idle, c.idleSince, c.answered = true, now, true
 }
 
-// setActive notes that a request is being read or served, and lets reads succeed again if the connection has expired.
+// setReading notes that bytes have been read, and bounds the time for those that follow the first ones of a request.
+func (c *conn) setReading() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.idle {
+		return nil
+	}
+	c.idle, c.expired = false, false
+	return c.Conn.SetReadDeadline(time.Now().Add(firstBytesTimeout))
+}
+
+// setActive notes that a request is being served, and lets reads succeed again if the connection has expired.
 func (c *conn) setActive() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
