Call the store earlier when the relays of a VM have lost contact with it

Callers saw: rules and upstreams of 7 to 10 s before, from a VM that could reach the store. Cause: all four relays that it followed were cut off from the store and said so; it took this for an outage and waited 4 to 8 s before it called the store itself, and as long again after a broken watch or an answer.

Change: the wait depends on the size of the fleet (30 calls a second by all such VMs together, 1 to 4 s and as much jitter), and is a second once the store has answered or a watch of it broke. While a fleet starts only its stored size counts.

TestRelaysCutOff fails before (version 5 in force instead of 6, 7 instead of 8) and passes 300 times after.

TestFollowersAwaitRelay failed in 37 of 600 cases (300 runs) also before this change: it expected no call for 3.5 s after the fault, but its followers may call once their entries are 4 s old, which is 3 to 4 s after it. It waits for just that age now: as strict, and free of the random delay; 300 runs pass. TestOldReads of membership fails now and then with 21 relays of 60 (bound 20), before this change (1 of 42 runs) and with it; not traced.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -98,6 +98,17 @@
 	return f.storedSize
 }
 
+// KnownSize returns the number of VMs, or 0 if neither the store states it nor the VMs have listed themselves.
+func (f *Fleet) KnownSize() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rebuild()
+	if len(f.present) == 0 {
+		return f.storedSize
+	}
+	return max(len(f.list), f.storedSize)
+}
+
 // Size returns the number of VMs, and of those in this VM's failure domain. Until the VMs have listed themselves, the number
 // is the size that the store states if that is larger.
 func (f *Fleet) Size() (vms, local int) {
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -103,7 +103,10 @@
 // Sources returns the VMs to follow in place of the store.
 func (m *Membership) Sources() mirror.Sources {
 	p := m.place()
-	s := mirror.Sources{Tier: p.Tier}
+	s := mirror.Sources{Tier: p.Tier, FleetSize: m.config.Fleet.StoredSize()}
+	if time.Since(m.start) > settleTime {
+		s.FleetSize = m.config.Fleet.KnownSize()
+	}
 	if p.LacksRelay && time.Since(m.start) < remoteDelay && !m.isElected() {
 		return s
 	}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -94,6 +94,8 @@
 type Sources struct {
 	// Tier is this VM's distance from the store.
 	Tier topology.Tier
+	// FleetSize is the number of VMs, or 0 if it isn't known.
+	FleetSize int
 	// Peers are the VMs, the preferred one first; there are none if this VM watches the store itself.
 	Peers []Peer
 }
@@ -121,8 +123,11 @@
 	lastStoreCall time.Time
 	// peerAnsweredAt is the time at which a peer answered that it has lost contact with the store.
 	peerAnsweredAt time.Time
-	// followerStoreAge is the constant of that name with jitter.
-	followerStoreAge time.Duration
+	// storeAnswers reports whether the last answer came from the store itself, so that it is not the store that fails if no
+	// peer can be followed.
+	storeAnswers bool
+	// jitter in [0, 1) spreads the calls of the store by VMs that aren't relays.
+	jitter float64
 
 	mu sync.Mutex
 	// interrupt cancels the call in progress.
@@ -133,8 +138,7 @@
 
 // New returns a mirror without entries.
 func New(c Config) *Mirror {
-	m := &Mirror{config: c, start: time.Now(), avoidUntil: make(map[string]time.Time)}
-	m.followerStoreAge = followerStoreAge + rand.N(followerStoreAge)
+	m := &Mirror{config: c, start: time.Now(), avoidUntil: make(map[string]time.Time), jitter: rand.Float64()}
 	m.Worker = kernel.NewWorker(m.follow)
 	return m
 }
@@ -220,6 +224,9 @@
 			s.wait = max(s.wait-m.Age(), minWait)
 		}
 		b, err := m.fetch(ctx, s, revision, hasRevision)
+		if s.peer == nil {
+			m.storeAnswers = err == nil
+		}
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -227,6 +234,7 @@
 			// The call was interrupted.
 		case err == nil:
 			pause.Reset()
+			m.storeAnswers = s.peer == nil
 			revision, hasRevision, storeOnly, watchBroken = max(b.Revision, revision), true, false, false
 			if len(b.Entries) > 0 {
 				m.pauseAfterChanges(ctx, s.peer == nil)
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -97,11 +97,16 @@
 
 // newMirrorAt is like newMirror at the distance from the store.
 func newMirrorAt(tier topology.Tier, store *source, r mirror.Relay, peers ...mirror.Peer) *mirror.Mirror {
+	return newMirrorWith(mirror.Sources{Tier: tier, Peers: peers}, store, r)
+}
+
+// newMirrorWith returns a mirror of the store with the sources.
+func newMirrorWith(sources mirror.Sources, store *source, r mirror.Relay) *mirror.Mirror {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	return mirror.New(mirror.Config{
-		Store: store, Decode: decode, Sources: func() mirror.Sources { return mirror.Sources{Tier: tier, Peers: peers} },
-		Discover: func(context.Context, bool) error { return nil }, MayReadStore: func() bool { return tier != topology.Indirect },
+		Store: store, Decode: decode, Sources: func() mirror.Sources { return sources },
+		Discover: func(context.Context, bool) error { return nil }, MayReadStore: func() bool { return sources.Tier != topology.Indirect },
 		Relay: r, Roster: roster.New(),
 		Fleet: fleet.New(fleet.VM{}), OnChange: func() {}, Log: logrus.NewEntry(log),
 	})
@@ -310,7 +315,8 @@
 				time.Sleep(5 * time.Second)
 				first.set(c.fault)
 				second.set(c.fault)
-				time.Sleep(3500 * time.Millisecond)
+				// Followers in a fleet of unknown size call the store once their entries are 4 s old at the earliest.
+				time.Sleep(4*time.Second - m.Age() - time.Millisecond)
 				if n := store.count(); n < c.least || n > c.most {
 					t.Errorf("%s, tier %d: %d calls to the store, want %d to %d", name, tier, n, c.least, c.most)
 				}
@@ -320,6 +326,49 @@
 	}
 }
 
+// TestRelaysCutOff guards against rules that are not in force in time at VMs that reach the store, because all relays that they
+// follow have lost contact with it.
+func TestRelaysCutOff(t *testing.T) {
+	const small, large = 17, 400
+	for name, c := range map[string]struct {
+		fleetSize int
+		// fault happens at the store while the relays are cut off.
+		fault func(store *source)
+		// first is the time within which the first change after the loss of contact has to be in force.
+		first time.Duration
+	}{
+		"a small fleet":                     {small, func(*source) {}, inForceWithin},
+		"a small fleet, and a watch breaks": {small, func(s *source) { s.drops++ }, 2 * inForceWithin},
+		"a large fleet":                     {large, func(*source) {}, 2*4*time.Second + inForceWithin},
+	} {
+		for _, tier := range []topology.Tier{topology.Direct, topology.Indirect} {
+			synctest.Test(t, func(t *testing.T) {
+				store, first, second := &source{version: 5}, &source{version: 5}, &source{version: 5}
+				m := newMirrorWith(mirror.Sources{
+					Tier: tier, FleetSize: c.fleetSize, Peers: []mirror.Peer{{Name: "a", Source: first}, {Name: "b", Source: second}},
+				}, store, relay{})
+				_ = m.Start(t.Context())
+				defer func() { _ = m.Stop(t.Context()) }()
+				time.Sleep(5 * time.Second)
+				for _, s := range []*source{first, second} {
+					s.set(func(s *source) { s.stale, s.age = true, 3*time.Second })
+				}
+				time.Sleep(inForceWithin)
+				store.set(c.fault)
+				within := c.first
+				for version := uint64(6); version < 12; version++ {
+					store.set(func(s *source) { s.version = version })
+					time.Sleep(within)
+					within = inForceWithin
+					if set := m.Rules(); set.Version != version {
+						t.Errorf("%s, tier %d: version %d in force instead of %d", name, tier, set.Version, version)
+					}
+				}
+			})
+		}
+	}
+}
+
 // TestGraceOfFollowers guards against VMs that drop upstreams at once whose entries expired in an outage, because they did
 // not notice the outage themselves.
 func TestGraceOfFollowers(t *testing.T) {
--- a/mirror/step.go
+++ b/mirror/step.go
@@ -30,12 +30,13 @@
 	standbyStorePause = 500 * time.Millisecond
 	// relayStorePause is the same for the other relays.
 	relayStorePause = 5 * time.Second
-	// followerStoreAge is the least age of its entries at which a VM that isn't a relay calls the store, and also the time
-	// between such calls. There may be thousands of such VMs, and in an outage they would all call it in vain.
-	followerStoreAge = 4 * time.Second
-	// unreachableStoreAge replaces followerStoreAge while none of its peers answers, not even that it has lost contact with
-	// the store: nobody else gets the changes for this VM then.
-	unreachableStoreAge = time.Second
+	// followerCallRate is the number of calls of the store per second that the VMs that aren't relays make together while
+	// their relays have lost contact with it. In an outage all these calls are in vain.
+	followerCallRate = 30
+	// minFollowerAge and maxFollowerAge bound the least age of its entries at which a VM that isn't a relay calls the store,
+	// and also the time between such calls that failed. The latter holds for a fleet of unknown size too.
+	minFollowerAge = time.Second
+	maxFollowerAge = 4 * time.Second
 	// answerMemory is the time for which the answer of a peer counts.
 	answerMemory = 1500 * time.Millisecond
 )
@@ -77,9 +78,10 @@
 			}
 		}
 	}
-	storeAge := m.followerStoreAge
-	if now.Sub(m.peerAnsweredAt) > answerMemory {
-		storeAge = unreachableStoreAge
+	storeAge := m.followerAge(sources.FleetSize)
+	if m.storeAnswers || watchBroken || now.Sub(m.peerAnsweredAt) > answerMemory {
+		// The store has answered this VM, or no peer has, not even that it has lost contact with the store.
+		storeAge = minFollowerAge
 	}
 	switch {
 	case s.peer == nil && isFollower && (m.Age() < storeAge || now.Sub(m.lastStoreCall) < storeAge):
@@ -96,6 +98,15 @@
 	return s
 }
 
+// followerAge returns the age of its entries at which this VM, which isn't a relay, calls the store.
+func (m *Mirror) followerAge(fleetSize int) time.Duration {
+	age := maxFollowerAge
+	if fleetSize > 0 {
+		age = max(minFollowerAge, min(time.Duration(fleetSize)*time.Second/followerCallRate, maxFollowerAge))
+	}
+	return age + time.Duration(m.jitter*float64(age))
+}
+
 // storeStep returns the step that watches the store, or that reads all entries if the last watch failed.
 func (m *Mirror) storeStep(watchBroken bool) step {
 	m.lastStoreCall = time.Now()
