--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -209,7 +209,11 @@
 			}
 			return 0
 		},
-		StoreAge:   func() float64 { return g.mirror.Age().Seconds() },
+		StoreAge: func() float64 { return g.mirror.Age().Seconds() },
+		Position: func() (era, revision float64) {
+			p := g.mirror.Position()
+			return float64(p.Era), float64(p.Revision)
+		},
 		Upstreams:  func() float64 { return float64(g.roster.Len()) },
 		VMs:        func() float64 { return float64(len(g.fleet.List())) },
 		Polls:      func() float64 { return float64(g.sampler.Polls()) },
--- a/mirror/change.go
+++ b/mirror/change.go
@@ -83,11 +83,22 @@
 	Deleted bool
 }
 
+// Position is a point in a history of the store's changes.
+type Position struct {
+	// Era is the number of the history. It rises when the store is restored from an older copy, after which revisions are
+	// given out again. It is 0 if the source states none.
+	Era uint64
+	// Revision is the revision of the last change in the history before the point.
+	Revision uint64
+}
+
 // Batch is one answer of a source.
 type Batch struct {
 	// Entries are the changes in their order, or all entries if Whole is true.
 	Entries []Entry
 	Whole   bool
+	// Era is the number of the history to which the revisions belong.
+	Era uint64
 	// Revision is the revision up to which Entries is complete.
 	Revision uint64
 	// Age is the time since the source's last contact with the store; it is 0 for the store itself.
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -113,8 +113,10 @@
 	rules  atomic.Pointer[ruleset.Set]
 	// lastContact is the time of the last contact with the store, in ns since start.
 	lastContact atomic.Int64
-	start       time.Time
-	storeLost   bool
+	// position is the point in the store's history up to which the view is complete.
+	position  atomic.Pointer[Position]
+	start     time.Time
+	storeLost bool
 	// outageEnd is the end of the last outage of the store that this VM has noticed or heard of.
 	outageEnd time.Time
 	// lastStoreCall is the time of the last call to the store.
@@ -134,6 +136,7 @@
 // New returns a mirror without entries.
 func New(c Config) *Mirror {
 	m := &Mirror{config: c, start: time.Now(), avoidUntil: make(map[string]time.Time)}
+	m.position.Store(&Position{})
 	m.followerStoreAge = followerStoreAge + rand.N(followerStoreAge)
 	m.Worker = kernel.NewWorker(m.follow)
 	return m
@@ -144,6 +147,11 @@
 	return m.rules.Load()
 }
 
+// Position returns the point in the store's history up to which the view is complete.
+func (m *Mirror) Position() Position {
+	return *m.position.Load()
+}
+
 // Age returns the time since the last contact with the store.
 func (m *Mirror) Age() time.Duration {
 	return time.Since(m.start) - time.Duration(m.lastContact.Load())
@@ -309,19 +317,25 @@
 	}
 	b.OutageEnd = m.outageEnd
 	m.config.Relay.Add(b, lastContact)
-	m.applyBatch(b, now)
+	m.position.Store(&Position{Era: b.Era, Revision: max(b.Revision, revision)})
+	m.applyBatch(b, s.peer, now)
 	return b, nil
 }
 
-// applyBatch decodes a batch and applies it.
-func (m *Mirror) applyBatch(b Batch, now time.Time) {
+// applyBatch decodes a batch of the peer, or of the store if peer is nil, and applies it.
+func (m *Mirror) applyBatch(b Batch, peer *Peer, now time.Time) {
 	var changes []Change
 	for _, e := range b.Entries {
 		changes = append(changes, m.config.Decode(e, now)...)
 	}
 	switch {
 	case b.Whole:
-		m.replace(changes, now)
+		upstreams, vms := m.replace(changes, now)
+		log := m.config.Log.WithFields(logrus.Fields{"upstreams": upstreams, "vms": vms, "era": b.Era, "revision": b.Revision})
+		if peer != nil {
+			log = log.WithField("peer", peer.Name)
+		}
+		log.Info("all entries read")
 	case len(changes) > 0:
 		m.apply(changes, now)
 	}
@@ -357,8 +371,8 @@
 	m.config.Fleet.BeginGrace(end)
 }
 
-// replace applies a whole list of entries.
-func (m *Mirror) replace(changes []Change, now time.Time) {
+// replace applies a whole list of entries and returns the numbers of its upstreams and VMs.
+func (m *Mirror) replace(changes []Change, now time.Time) (upstreams, vmCount int) {
 	var ups []roster.Upstream
 	var vms []fleet.VM
 	for _, c := range changes {
@@ -380,8 +394,8 @@
 	}
 	m.config.Roster.Replace(ups, now)
 	m.config.Fleet.Replace(vms, now)
-	m.config.Log.WithFields(logrus.Fields{"upstreams": len(ups), "vms": len(vms)}).Info("all entries read")
 	m.config.OnChange()
+	return len(ups), len(vms)
 }
 
 // apply applies changes in their order.
--- a/telemetry/doc.go
+++ b/telemetry/doc.go
@@ -11,6 +11,7 @@
 //	fulmarhitch_body_evictions_total                    unfinished bodies that were cut off because memory was used up
 //	fulmarhitch_rules_version                           version of the rules in force
 //	fulmarhitch_store_age_seconds                       time since the last contact with the store
+//	fulmarhitch_store_era, fulmarhitch_store_revision   history of the store, and revision up to which it is known
 //	fulmarhitch_upstreams, fulmarhitch_vms              known upstreams and VMs
 //	fulmarhitch_log_dropped_total                       log lines lost because standard output was blocked
 package telemetry
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -26,6 +26,8 @@
 // Sources holds functions that return current values; they are called on each scrape.
 type Sources struct {
 	RulesVersion, StoreAge, Upstreams, VMs, Polls, LogDropped, BodyBytes, Evictions func() float64
+	// Position returns the point in the store's history up to which this process knows its entries. It may be nil.
+	Position func() (era, revision float64)
 	// StoreCalls returns the calls of the store by purpose.
 	StoreCalls func() map[string]uint64
 }
@@ -56,6 +58,10 @@
 	m.registry.MustRegister(storeCalls(s.StoreCalls))
 	m.registerFunc("rules_version", "Version of the rules in force.", s.RulesVersion)
 	m.registerFunc("store_age_seconds", "Time since the store was last heard.", s.StoreAge)
+	if s.Position != nil {
+		m.registerFunc("store_era", "Number of the store's history that is followed.", func() float64 { era, _ := s.Position(); return era })
+		m.registerFunc("store_revision", "Revision of the store up to which its entries are known.", func() float64 { _, revision := s.Position(); return revision })
+	}
 	m.registerFunc("upstreams", "Known upstreams.", s.Upstreams)
 	m.registerFunc("vms", "Known VMs.", s.VMs)
 	m.registerFunc("questions_total", "Questions to health endpoints.", s.Polls)
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -17,6 +17,7 @@
 		one := func() float64 { return 1 }
 		m := telemetry.New(telemetry.Sources{
 			RulesVersion: one, StoreAge: one, Upstreams: one, VMs: one, Polls: one, LogDropped: one, BodyBytes: one, Evictions: one,
+			Position:   func() (era, revision float64) { return 2, 54 },
 			StoreCalls: func() map[string]uint64 { return map[string]uint64{"watch": 3, "renew": 2} },
 		})
 		m.Done("r", outcome.NotRun{Reason: outcome.QueueFull}, time.Second)
@@ -28,6 +29,7 @@
 			`fulmarhitch_store_calls_total{purpose="watch"} 3`, `fulmarhitch_store_calls_total{purpose="renew"} 2`,
 			`fulmarhitch_requests_total{outcome="not-run",reason="queue-full",rule="r"} 1`, `fulmarhitch_hedges_total{rule="r"} 1`,
 			`fulmarhitch_refusals_total{status="404"} 1`, `fulmarhitch_body_evictions_total 1`, `fulmarhitch_body_bytes 1`,
+			`fulmarhitch_store_era 2`, `fulmarhitch_store_revision 54`,
 		} {
 			So(w.Body.String(), ShouldContainSubstring, line+"\n")
 		}
