Pass the position in the store's history to sources as one value

A watch gets a mirror.Position, which has room for the era, and Mirror keeps its position in one place instead of passing the revision through its loop. Behaviour is unchanged.

--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -129,16 +129,16 @@
 	return mirror.Batch{Entries: s.list(""), Whole: true, Revision: revision}, nil
 }
 
-func (s *store) Watch(ctx context.Context, after uint64, wait time.Duration) (mirror.Batch, error) {
+func (s *store) Watch(ctx context.Context, after mirror.Position, wait time.Duration) (mirror.Batch, error) {
 	if err := s.call(ctx, 1); err != nil {
 		return mirror.Batch{}, err
 	}
 	end := time.After(wait)
 	for {
 		s.mu.Lock()
-		b, changed, lost := mirror.Batch{Revision: s.revision}, s.changed, after < s.dropped
-		if n := len(s.history); n > 0 && s.revision > after {
-			b.Entries = append(b.Entries, s.history[n-int(s.revision-after):]...)
+		b, changed, lost := mirror.Batch{Revision: s.revision}, s.changed, after.Revision < s.dropped
+		if n := len(s.history); n > 0 && s.revision > after.Revision {
+			b.Entries = append(b.Entries, s.history[n-int(s.revision-after.Revision):]...)
 		}
 		s.mu.Unlock()
 		if lost {
@@ -274,10 +274,10 @@
 const linkTime = time.Millisecond
 
 func (l link) Snapshot(ctx context.Context) (mirror.Batch, error) {
-	return l.Watch(ctx, 0, 400*time.Millisecond)
+	return l.Watch(ctx, mirror.Position{}, 400*time.Millisecond)
 }
 
-func (l link) Watch(ctx context.Context, after uint64, wait time.Duration) (mirror.Batch, error) {
+func (l link) Watch(ctx context.Context, after mirror.Position, wait time.Duration) (mirror.Batch, error) {
 	time.Sleep(linkTime)
 	to := l.network.get(l.to)
 	if to == nil {
--- a/mirror/change.go
+++ b/mirror/change.go
@@ -108,11 +108,16 @@
 	OutageEnd time.Time
 }
 
+// Position returns the point in the store's history up to which the entries are complete.
+func (b Batch) Position() Position {
+	return Position{Era: b.Era, Revision: b.Revision}
+}
+
 // Source provides the entries: the store, or a VM that watches it.
 type Source interface {
 	// Snapshot returns all entries.
 	Snapshot(ctx context.Context) (Batch, error)
-	// Watch returns the changes after the revision. It returns no changes if there are none within the wait, and
+	// Watch returns the changes after the position. It returns no changes if there are none within the wait, and
 	// ErrCompacted if changes may be missing.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (Batch, error)
+	Watch(ctx context.Context, after Position, wait time.Duration) (Batch, error)
 }
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -157,8 +157,8 @@
 	return time.Since(m.start) - time.Duration(m.lastContact.Load())
 }
 
-// join gets the first entries from a peer, or from the store, and returns their revision. It returns false once ctx is done.
-func (m *Mirror) join(ctx context.Context) (revision uint64, ok bool) {
+// join gets the first entries from a peer, or from the store. It returns false once ctx is done.
+func (m *Mirror) join(ctx context.Context) bool {
 	pause := backoff.New(minDiscoveryPause, maxDiscoveryPause)
 	discoverAt, searchedAgain := time.Now(), false
 	for ctx.Err() == nil {
@@ -167,9 +167,9 @@
 			discoverAt = time.Now().Add(pause.Next())
 		}
 		for _, p := range m.config.Sources().Peers {
-			b, err := m.fetch(ctx, step{peer: &p, maxAge: maxAge}, 0, false)
+			_, err := m.fetch(ctx, step{peer: &p, maxAge: maxAge}, false)
 			if err == nil {
-				return b.Revision, true
+				return true
 			}
 			m.config.Log.WithError(err).WithField("peer", p.Name).Debug("peer has no entries for this VM yet")
 		}
@@ -181,16 +181,16 @@
 		}
 		if ctx.Err() == nil && m.config.MayReadStore() {
 			m.lastStoreCall = time.Now()
-			b, err := m.fetch(ctx, step{}, 0, false)
+			_, err := m.fetch(ctx, step{}, false)
 			if err == nil {
-				return b.Revision, true
+				return true
 			}
 			m.recordFailure(err)
 			backoff.Sleep(ctx, minPause)
 		}
 		backoff.Sleep(ctx, joinPause)
 	}
-	return 0, false
+	return false
 }
 
 // discover looks for relays.
@@ -214,7 +214,7 @@
 // follow gets all entries and then watches, until ctx is done.
 func (m *Mirror) follow(ctx context.Context) {
 	pause := backoff.New(minPause, maxPause)
-	revision, hasRevision := m.join(ctx)
+	canWatch := m.join(ctx)
 	// storeOnly is true while only the store can provide the missing changes, watchBroken after its last watch has failed.
 	storeOnly, watchBroken := false, false
 	for ctx.Err() == nil {
@@ -227,7 +227,7 @@
 			// The batch delay counts as part of the wait, so that followers never get data older than one wait.
 			s.wait = max(s.wait-m.Age(), minWait)
 		}
-		b, err := m.fetch(ctx, s, revision, hasRevision)
+		b, err := m.fetch(ctx, s, canWatch)
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -235,7 +235,7 @@
 			// The call was interrupted.
 		case err == nil:
 			pause.Reset()
-			revision, hasRevision, storeOnly, watchBroken = max(b.Revision, revision), true, false, false
+			canWatch, storeOnly, watchBroken = true, false, false
 			if len(b.Entries) > 0 {
 				m.pauseAfterChanges(ctx, s.peer == nil)
 			} else if s.peer != nil && s.wait == 0 {
@@ -245,15 +245,15 @@
 			m.avoid(s.peer.Name, err)
 		case errors.Is(err, ErrCompacted):
 			// The store answers, so no pause is needed.
-			m.config.Log.WithField("revision", revision).Info("store no longer holds the next changes; reading all entries")
-			hasRevision, storeOnly = false, true
-		case hasRevision && !watchBroken:
+			m.config.Log.WithField("revision", m.Position().Revision).Info("store no longer holds the next changes; reading all entries")
+			canWatch, storeOnly = false, true
+		case canWatch && !watchBroken:
 			// A watch may break although the store answers, so all entries are read at once.
 			m.config.Log.WithError(err).Info("watch of the store failed; reading all entries")
 			watchBroken = true
 		default:
 			m.recordFailure(err)
-			hasRevision = hasRevision && !m.storeLost
+			canWatch = canWatch && !m.storeLost
 			pause.Wait(ctx)
 		}
 	}
@@ -269,13 +269,13 @@
 }
 
 // fetch reads all entries or waits for changes, and applies them.
-func (m *Mirror) fetch(ctx context.Context, s step, revision uint64, hasRevision bool) (Batch, error) {
+func (m *Mirror) fetch(ctx context.Context, s step, canWatch bool) (Batch, error) {
 	source, timeout := m.config.Store, readTimeout
 	switch {
 	case s.peer != nil:
 		source = s.peer.Source
 		switch {
-		case !hasRevision:
+		case !canWatch:
 			timeout = joinTimeout
 		case s.wait > 0:
 			timeout = s.wait + peerSlack
@@ -283,8 +283,8 @@
 			timeout = refreshTimeout
 		}
 	case s.wait == 0:
-		hasRevision = false
-	case hasRevision:
+		canWatch = false
+	case canWatch:
 		timeout = s.wait + storeSlack
 	}
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
@@ -295,8 +295,8 @@
 	began := time.Now()
 	var b Batch
 	var err error
-	if hasRevision {
-		b, err = source.Watch(callCtx, revision, s.wait)
+	if canWatch {
+		b, err = source.Watch(callCtx, m.Position(), s.wait)
 	} else {
 		b, err = source.Snapshot(callCtx)
 	}
@@ -308,7 +308,7 @@
 	}
 	now := time.Now()
 	lastContact := now.Add(-b.Age)
-	if !hasRevision {
+	if !canWatch {
 		lastContact = began.Add(-b.Age)
 	}
 	m.recordSuccess(lastContact, s.peer == nil)
@@ -317,7 +317,7 @@
 	}
 	b.OutageEnd = m.outageEnd
 	m.config.Relay.Add(b, lastContact)
-	m.position.Store(&Position{Era: b.Era, Revision: max(b.Revision, revision)})
+	m.position.Store(&Position{Era: b.Era, Revision: max(b.Revision, m.Position().Revision)})
 	m.applyBatch(b, s.peer, now)
 	return b, nil
 }
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -50,12 +50,12 @@
 }
 
 func (s *source) Snapshot(ctx context.Context) (mirror.Batch, error) {
-	b, err := s.Watch(ctx, 0, 0)
+	b, err := s.Watch(ctx, mirror.Position{}, 0)
 	b.Whole = true
 	return b, err
 }
 
-func (s *source) Watch(ctx context.Context, after uint64, wait time.Duration) (mirror.Batch, error) {
+func (s *source) Watch(ctx context.Context, after mirror.Position, wait time.Duration) (mirror.Batch, error) {
 	began := 0
 	s.set(func(s *source) { s.calls++; began = s.drops })
 	end := time.Now().Add(wait)
@@ -70,10 +70,10 @@
 		case hangs:
 		case down:
 			return mirror.Batch{}, errDown
-		case version > after && !stale:
+		case version > after.Revision && !stale:
 			return mirror.Batch{Entries: []mirror.Entry{{Key: "rules", Revision: version}}, Revision: version, Age: age, OutageEnd: outageEnd}, nil
 		case !time.Now().Before(end):
-			return mirror.Batch{Revision: after, Age: age}, nil
+			return mirror.Batch{Revision: after.Revision, Age: age}, nil
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
--- a/relay/log.go
+++ b/relay/log.go
@@ -96,10 +96,10 @@
 	l.changed = make(chan struct{})
 }
 
-// Since returns the changes after the revision, waiting for one until ctx is done, interrupt is closed or the contact with
+// Since returns the changes after the position, waiting for one until ctx is done, interrupt is closed or the contact with
 // the store is lost. After revision 0, or one after which removals may be unknown, it returns all entries; a log without
 // any waits for them. It also reports whether there is contact with the store.
-func (l *Log) Since(ctx context.Context, after uint64, interrupt <-chan struct{}) (b mirror.Batch, fresh bool) {
+func (l *Log) Since(ctx context.Context, after mirror.Position, interrupt <-chan struct{}) (b mirror.Batch, fresh bool) {
 	for {
 		b, fresh, changed := l.changesSince(after)
 		if b.Revision > 0 && (b.Whole || len(b.Entries) > 0 || !fresh) {
@@ -119,18 +119,18 @@
 
 // changesSince returns the changes after the revision, whether there is contact with the store, and a channel that closes
 // at the next change.
-func (l *Log) changesSince(after uint64) (mirror.Batch, bool, <-chan struct{}) {
+func (l *Log) changesSince(after mirror.Position) (mirror.Batch, bool, <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	b := mirror.Batch{Revision: l.revision, Whole: after == 0 || after < l.compacted, Age: time.Since(l.lastContact), OutageEnd: l.outageEnd}
+	b := mirror.Batch{Revision: l.revision, Whole: after.Revision == 0 || after.Revision < l.compacted, Age: time.Since(l.lastContact), OutageEnd: l.outageEnd}
 	for _, e := range l.entries {
-		if b.Whole || e.Revision > after {
+		if b.Whole || e.Revision > after.Revision {
 			b.Entries = append(b.Entries, e)
 		}
 	}
 	if !b.Whole {
 		for _, e := range l.removed {
-			if e.Revision > after {
+			if e.Revision > after.Revision {
 				b.Entries = append(b.Entries, e)
 			}
 		}
--- a/relay/peer.go
+++ b/relay/peer.go
@@ -103,7 +103,7 @@
 			// The follower should repeat its report, or get the list, without a wait.
 			cancel()
 		}
-		b, fresh := l.Since(ctx, req.Msg.After, interrupt)
+		b, fresh := l.Since(ctx, mirror.Position{Revision: req.Msg.After}, interrupt)
 		if b.Revision == 0 {
 			return nil, connect.NewError(connect.CodeUnavailable, errNoEntries)
 		}
@@ -159,18 +159,18 @@
 
 // Snapshot returns all entries. A peer without entries is given some time to get them.
 func (p *Peer) Snapshot(ctx context.Context) (mirror.Batch, error) {
-	return p.follow(ctx, 0, snapshotWait)
+	return p.follow(ctx, mirror.Position{}, snapshotWait)
 }
 
-// Watch returns the changes after the revision, or all entries if changes may be missing.
-func (p *Peer) Watch(ctx context.Context, after uint64, wait time.Duration) (mirror.Batch, error) {
+// Watch returns the changes after the position, or all entries if changes may be missing.
+func (p *Peer) Watch(ctx context.Context, after mirror.Position, wait time.Duration) (mirror.Batch, error) {
 	return p.follow(ctx, after, wait)
 }
 
-func (p *Peer) follow(ctx context.Context, after uint64, wait time.Duration) (mirror.Batch, error) {
+func (p *Peer) follow(ctx context.Context, after mirror.Position, wait time.Duration) (mirror.Batch, error) {
 	c := p.client
 	report := c.vms.Report()
-	req := &wireFollow{After: after, WaitMS: wait.Milliseconds(), Reporter: report.Reporter, Digest: report.Digest}
+	req := &wireFollow{After: after.Revision, WaitMS: wait.Milliseconds(), Reporter: report.Reporter, Digest: report.Digest}
 	req.ListOrigin, req.ListVersion = c.vms.Position()
 	if !c.hasReported(p.address, report.Digest) {
 		req.VMs = encodeVMs(report.VMs)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -111,7 +111,7 @@
 			l.Add(mirror.Batch{Whole: true, Revision: 4, Entries: []mirror.Entry{put("a", 2), put("b", 3), put("c", 4)}}, time.Now())
 			l.Add(mirror.Batch{Revision: 6, Entries: []mirror.Entry{removed("c", 5), put("a", 6)}}, time.Now().Add(-time.Second))
 			peer, _ := serve(t, l)
-			got, err := peer.Watch(t.Context(), c.after, 20*time.Millisecond)
+			got, err := peer.Watch(t.Context(), mirror.Position{Revision: c.after}, 20*time.Millisecond)
 			So(err, ShouldBeNil)
 			var keys []string
 			for _, e := range got.Entries {
@@ -134,7 +134,7 @@
 		}}, time.Now())
 		l.Add(mirror.Batch{Whole: true, Revision: 7, Entries: []mirror.Entry{{Key: "a", Revision: 2}, {Key: "c", Revision: 6}}}, time.Now())
 		peer, _ := serve(t, l)
-		got, err := peer.Watch(t.Context(), 4, 0)
+		got, err := peer.Watch(t.Context(), mirror.Position{Revision: 4}, 0)
 		So(err, ShouldBeNil)
 		So(got, ShouldResemble, mirror.Batch{Revision: 7, Age: got.Age, Entries: []mirror.Entry{
 			{Key: "c", Revision: 6}, {Key: "b", Revision: 7, Deleted: true},
@@ -152,7 +152,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 		defer cancel()
 		go func() {
-			_, err := peer.Watch(ctx, 1, 5*time.Second)
+			_, err := peer.Watch(ctx, mirror.Position{Revision: 1}, 5*time.Second)
 			result <- err
 		}()
 		time.Sleep(50 * time.Millisecond)
@@ -173,7 +173,7 @@
 		peer, _ := serveList(t, l, server, follower)
 		watch := func() time.Duration {
 			start := time.Now()
-			_, err := peer.Watch(t.Context(), 1, 300*time.Millisecond)
+			_, err := peer.Watch(t.Context(), mirror.Position{Revision: 1}, 300*time.Millisecond)
 			So(err, ShouldBeNil)
 			return time.Since(start)
 		}
