Count revisions of the store within an era

Cause: a VM kept the higher of two revisions although they counted in different histories. The restored store had 53, the watcher kept 54 of the lost history, got "history gone" and read all entries sixteen times; the change of 21.5 s was given the revision 54, and the next watch after 54 succeeded without it. Followers kept 54 too, because relay.Log also took the higher one, so they missed everything up to it even where the watcher did not. The class: a number is compared without the history that gives it its meaning.

A read of all entries sets the position to its own, also to a lower one: the maximum mislabelled the older entries of a peer that is behind (TestOlderRead). Entries that the copy lacks get the grace period of an outage also if the store was away for less than the second after which it counts as lost. A peer of an earlier release sends no era, and is followed as before.

--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -50,6 +50,8 @@
 	down  bool
 	// dropped is the revision up to which the history is lost.
 	dropped uint64
+	// era is the number of the history.
+	era uint64
 }
 
 func newStore() *store {
@@ -78,6 +80,12 @@
 	return s.calls
 }
 
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
 // latest returns the revision of the last change.
 func (s *store) latest() uint64 {
 	s.mu.Lock()
@@ -85,6 +93,19 @@
 	return s.revision
 }
 
+// restore replaces the content by that at the revision, and writes the entries in the new history.
+func (s *store) restore(revision uint64, again ...mirror.Entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	history := s.history[:len(s.history)-int(s.revision-revision)]
+	s.era++
+	s.revision -= uint64(len(s.history))
+	s.entries, s.history = make(map[string]mirror.Entry), nil
+	for _, e := range append(history, again...) {
+		s.change(e)
+	}
+}
+
 func (s *store) put(key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -119,14 +140,14 @@
 
 func (s *store) Snapshot(ctx context.Context) (mirror.Batch, error) {
 	s.mu.Lock()
-	revision, pages := s.revision, 1+len(s.entries)/pageSize
+	era, revision, pages := s.era, s.revision, 1+len(s.entries)/pageSize
 	s.mu.Unlock()
 	for range pages {
 		if err := s.call(ctx, 1); err != nil {
 			return mirror.Batch{}, err
 		}
 	}
-	return mirror.Batch{Entries: s.list(""), Whole: true, Revision: revision}, nil
+	return mirror.Batch{Entries: s.list(""), Whole: true, Era: era, Revision: revision}, nil
 }
 
 func (s *store) Watch(ctx context.Context, after mirror.Position, wait time.Duration) (mirror.Batch, error) {
@@ -136,8 +157,8 @@
 	end := time.After(wait)
 	for {
 		s.mu.Lock()
-		b, changed, lost := mirror.Batch{Revision: s.revision}, s.changed, after.Revision < s.dropped
-		if n := len(s.history); n > 0 && s.revision > after.Revision {
+		b, changed, lost := mirror.Batch{Era: s.era, Revision: s.revision}, s.changed, after.Revision < s.dropped || after.Revision > s.revision
+		if n := len(s.history); n > 0 && s.revision > after.Revision && !lost {
 			b.Entries = append(b.Entries, s.history[n-int(s.revision-after.Revision):]...)
 		}
 		s.mu.Unlock()
@@ -222,7 +243,13 @@
 		}
 		return []mirror.Change{mirror.SizePut{VMs: n}}
 	case e.Key == "rules":
-		return []mirror.Change{mirror.RulesPut{Set: ruleset.New(e.Revision, nil, nil, ruleset.Limits{})}}
+		version := e.Revision
+		if e.Value != nil {
+			if err := json.Unmarshal(e.Value, &version); err != nil {
+				return []mirror.Change{mirror.Unreadable{Key: e.Key, Err: err}}
+			}
+		}
+		return []mirror.Change{mirror.RulesPut{Set: ruleset.New(version, nil, nil, ruleset.Limits{})}}
 	case e.Key[:len(ownPrefix)] != ownPrefix:
 		return []mirror.Change{mirror.UpstreamPut{Upstream: roster.Upstream{ID: e.Key, Service: "s"}}}
 	case e.Deleted:
@@ -529,6 +556,77 @@
 	})
 }
 
+// TestStoreRestored guards against VMs that miss a change, and upstreams written again, after the store was restored from an
+// older copy and has given out again the revision up to which they knew the lost history. The goal of 500 calls in a day leaves
+// half for a restore.
+func TestStoreRestored(t *testing.T) {
+	const mostCalls = 250
+	for name, c := range map[string]struct {
+		vms, fast     int
+		away, inForce time.Duration
+	}{
+		"14 VMs":                                 {14, 3, 1500 * time.Millisecond, 2 * time.Second},
+		"14 VMs, the store is away for a moment": {14, 3, 100 * time.Millisecond, 2 * time.Second},
+		"111 VMs":                                {111, 2, 1500 * time.Millisecond, 2500 * time.Millisecond},
+		"111 VMs, the store is away for a moment": {111, 2, 100 * time.Millisecond, 2500 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				s, n := newStore(), &network{nodes: make(map[string]*node)}
+				go s.runStale(ctx)
+				for i := range numUpstreams {
+					s.put(fmt.Sprintf("up-%04d", i), nil)
+				}
+				nodes := n.startAll(t, s, fleetOf(c.vms, c.fast), 1)
+				time.Sleep(15 * time.Second)
+				version := s.latest() + 1000
+				for restores := range 2 {
+					calls, copied := s.numCalls(), s.latest()
+					for i := range 20 {
+						s.put("rules", fmt.Append(nil, version))
+						s.put(fmt.Sprintf("up-%d-lost-%d", restores, i), nil)
+					}
+					time.Sleep(3 * time.Second)
+					s.setDown(true)
+					time.Sleep(c.away)
+					last := s.latest()
+					again := []mirror.Entry{{Key: "rules", Value: fmt.Append(nil, version)}}
+					for i := uint64(len(again)); i < last-copied-1; i++ {
+						again = append(again, mirror.Entry{Key: fmt.Sprintf("up-%d-again-%d", restores, i)})
+					}
+					s.restore(copied, again...)
+					s.setDown(false)
+					time.Sleep(time.Second)
+					version++
+					s.put("rules", fmt.Append(nil, version))
+					time.Sleep(c.inForce)
+					for _, x := range nodes {
+						if got := x.mirror.Rules().Version; got != version {
+							t.Errorf("restore %d: %s has version %d, want %d", restores, x.vm.Name, got, version)
+						}
+						for _, e := range again[1:] {
+							if !x.roster.Has(e.Key) {
+								t.Errorf("restore %d: %s does not know %s", restores, x.vm.Name, e.Key)
+								break
+							}
+						}
+					}
+					time.Sleep(10 * time.Second)
+					if calls = s.numCalls() - calls; calls > mostCalls {
+						t.Errorf("restore %d: %.0f calls", restores, calls)
+					}
+					t.Logf("restore %d: %.0f calls", restores, calls)
+				}
+				n.kill(s, nodes...)
+				cancel()
+				time.Sleep(10 * time.Second)
+			})
+		})
+	}
+}
+
 // TestOldReads guards against VMs that take a large fleet for a small one, and all become relays, because reads that may be
 // old show no relays for as long as the fleet starts.
 func TestOldReads(t *testing.T) {
--- a/mirror/change.go
+++ b/mirror/change.go
@@ -17,6 +17,9 @@
 // ErrCompacted marks a watch from a revision that the store's history no longer covers.
 var ErrCompacted = errors.New("the store no longer holds the changes since the revision")
 
+// ErrRestored marks an answer that belongs to another history of the store than the entries that it would extend.
+var ErrRestored = errors.New("the store was restored from an older copy")
+
 // Change is one change of the store's content.
 type Change interface {
 	isChange()
@@ -118,6 +121,7 @@
 	// Snapshot returns all entries.
 	Snapshot(ctx context.Context) (Batch, error)
 	// Watch returns the changes after the position. It returns no changes if there are none within the wait, and
-	// ErrCompacted if changes may be missing.
+	// ErrCompacted if changes may be missing. If the position belongs to another history, it may return all entries, or
+	// those after the same revision in its own history.
 	Watch(ctx context.Context, after Position, wait time.Duration) (Batch, error)
 }
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -241,6 +241,10 @@
 			} else if s.peer != nil && s.wait == 0 {
 				backoff.Sleep(ctx, refreshPause)
 			}
+		case errors.Is(err, ErrRestored):
+			// The source answers, so no pause is needed.
+			m.config.Log.WithError(err).Info("position belongs to an earlier history of the store; reading all entries")
+			canWatch, storeOnly = false, s.peer == nil
 		case s.peer != nil:
 			m.avoid(s.peer.Name, err)
 		case errors.Is(err, ErrCompacted):
@@ -303,6 +307,10 @@
 	if err == nil && s.peer != nil && b.Age > s.maxAge {
 		err = errors.Mark(errors.Newf("last contact of the peer with the store was %d ms ago", b.Age.Milliseconds()), ErrStale)
 	}
+	before := m.Position()
+	if err == nil {
+		err = checkHistory(b, before, s.peer != nil)
+	}
 	if err != nil {
 		return Batch{}, err
 	}
@@ -312,12 +320,19 @@
 		lastContact = began.Add(-b.Age)
 	}
 	m.recordSuccess(lastContact, s.peer == nil)
+	if before != (Position{}) && b.Era != before.Era {
+		m.recordRestore(b, before, lastContact, s.peer == nil)
+	}
 	if b.OutageEnd.After(m.outageEnd.Add(sameOutage)) {
 		m.beginGrace(b.OutageEnd)
 	}
 	b.OutageEnd = m.outageEnd
 	m.config.Relay.Add(b, lastContact)
-	m.position.Store(&Position{Era: b.Era, Revision: max(b.Revision, m.Position().Revision)})
+	position := b.Position()
+	if !b.Whole {
+		position.Revision = max(position.Revision, before.Revision)
+	}
+	m.position.Store(&position)
 	m.applyBatch(b, s.peer, now)
 	return b, nil
 }
@@ -364,6 +379,29 @@
 	m.lastContact.Store(int64(contact.Sub(m.start)))
 }
 
+// checkHistory checks that a batch may be applied to entries up to the position. Changes count from a revision of their own
+// history, and a peer may not have heard yet that the store was restored. A peer of an earlier release states no era.
+func checkHistory(b Batch, position Position, byPeer bool) error {
+	switch {
+	case byPeer && b.Era != 0 && b.Era < position.Era:
+		return errors.Mark(errors.Newf("the peer is in era %d of the store, this VM in era %d", b.Era, position.Era), ErrStale)
+	case !b.Whole && b.Era != position.Era:
+		return errors.Mark(errors.Newf("changes are of era %d, entries of era %d", b.Era, position.Era), ErrRestored)
+	}
+	return nil
+}
+
+// recordRestore records that the source has begun another history. Entries that the store has lost stay for a grace period,
+// in which they may be written again. A peer tells by itself when that period began.
+func (m *Mirror) recordRestore(b Batch, before Position, contact time.Time, byStore bool) {
+	m.config.Log.WithFields(logrus.Fields{
+		"era": b.Era, "revision": b.Revision, "earlier-era": before.Era, "earlier-revision": before.Revision,
+	}).Warn("store was restored from an older copy")
+	if byStore {
+		m.beginGrace(contact)
+	}
+}
+
 // beginGrace begins the grace period after an outage.
 func (m *Mirror) beginGrace(end time.Time) {
 	m.outageEnd = end
--- a/relay/convert.go
+++ b/relay/convert.go
@@ -10,7 +10,7 @@
 
 func encode(b mirror.Batch, block []byte, fresh, unknown bool, l presence.Listing) *wireBatch {
 	w := &wireBatch{
-		Entries: block, Whole: b.Whole, Revision: b.Revision, AgeMS: b.Age.Milliseconds(), Fresh: fresh, Unknown: unknown,
+		Entries: block, Whole: b.Whole, Era: b.Era, Revision: b.Revision, AgeMS: b.Age.Milliseconds(), Fresh: fresh, Unknown: unknown,
 		List: wireList{Origin: l.Origin, Version: l.Version, Whole: l.Whole, VMs: encodeVMs(l.VMs), Removed: l.Removed},
 	}
 	if !b.OutageEnd.IsZero() {
@@ -20,7 +20,7 @@
 }
 
 func decode(w *wireBatch, now time.Time) (mirror.Batch, error) {
-	b := mirror.Batch{Whole: w.Whole, Revision: w.Revision, Age: time.Duration(w.AgeMS) * time.Millisecond}
+	b := mirror.Batch{Whole: w.Whole, Era: w.Era, Revision: w.Revision, Age: time.Duration(w.AgeMS) * time.Millisecond}
 	if w.OutageMS > 0 {
 		b.OutageEnd = now.Add(-time.Duration(w.OutageMS) * time.Millisecond)
 	}
--- a/relay/log.go
+++ b/relay/log.go
@@ -15,10 +15,11 @@
 
 // Log holds the entries of the store as this VM knows them, and the latest removals. It is safe for concurrent use.
 type Log struct {
-	mu       sync.Mutex
-	entries  map[string]mirror.Entry
-	removed  []mirror.Entry
-	revision uint64
+	mu      sync.Mutex
+	entries map[string]mirror.Entry
+	removed []mirror.Entry
+	// era is the number of the store's history to which the revisions belong.
+	era, revision uint64
 	// compacted is the revision before which removals may be unknown.
 	compacted uint64
 	// lastContact is the time of the last contact with the store; fresh is false once that contact is lost.
@@ -37,7 +38,7 @@
 // replace removes the entries that are not in a whole batch; the caller holds mu. Followers get these removals as changes,
 // so that they need not read all entries as well.
 func (l *Log) replace(b mirror.Batch) {
-	if l.revision == 0 || b.Revision < l.revision {
+	if l.revision == 0 || b.Era != l.era || b.Revision < l.revision {
 		clear(l.entries)
 		l.removed, l.compacted = nil, b.Revision
 		return
@@ -54,7 +55,8 @@
 	}
 }
 
-// Add adds a batch; lastContact is the time of the source's last contact with the store.
+// Add adds a batch; lastContact is the time of the source's last contact with the store. Changes of another history than that
+// of the entries must not be added.
 func (l *Log) Add(b mirror.Batch, lastContact time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -74,7 +76,9 @@
 		l.compacted = l.removed[n-1].Revision
 		l.removed = slices.Clone(l.removed[n:])
 	}
-	l.revision = max(l.revision, b.Revision)
+	if b.Whole || b.Revision > l.revision {
+		l.era, l.revision = b.Era, b.Revision
+	}
 	if b.Whole || len(b.Entries) > 0 {
 		l.notify()
 	}
@@ -97,12 +101,13 @@
 }
 
 // Since returns the changes after the position, waiting for one until ctx is done, interrupt is closed or the contact with
-// the store is lost. After revision 0, or one after which removals may be unknown, it returns all entries; a log without
-// any waits for them. It also reports whether there is contact with the store.
+// the store is lost. After revision 0, one after which removals may be unknown, or one of an earlier era, it returns all
+// entries; a log without any waits for them. For a position of a later era it returns no changes. A position without an era
+// counts as one of the log's. Since also reports whether there is contact with the store.
 func (l *Log) Since(ctx context.Context, after mirror.Position, interrupt <-chan struct{}) (b mirror.Batch, fresh bool) {
 	for {
 		b, fresh, changed := l.changesSince(after)
-		if b.Revision > 0 && (b.Whole || len(b.Entries) > 0 || !fresh) {
+		if b.Revision > 0 && (b.Whole || len(b.Entries) > 0 || !fresh || b.Era < after.Era) {
 			return b, fresh
 		}
 		select {
@@ -122,7 +127,14 @@
 func (l *Log) changesSince(after mirror.Position) (mirror.Batch, bool, <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	b := mirror.Batch{Revision: l.revision, Whole: after.Revision == 0 || after.Revision < l.compacted, Age: time.Since(l.lastContact), OutageEnd: l.outageEnd}
+	if after.Era == 0 {
+		after.Era = l.era
+	}
+	b := mirror.Batch{Era: l.era, Revision: l.revision, Age: time.Since(l.lastContact), OutageEnd: l.outageEnd}
+	if after.Era > l.era {
+		return b, l.fresh, l.changed
+	}
+	b.Whole = after.Revision == 0 || after.Revision < l.compacted || after.Era < l.era
 	for _, e := range l.entries {
 		if b.Whole || e.Revision > after.Revision {
 			b.Entries = append(b.Entries, e)
--- a/relay/pack.go
+++ b/relay/pack.go
@@ -32,9 +32,9 @@
 	blocks map[blockKey][]byte
 }
 
-// blockKey identifies the changes after a revision.
+// blockKey identifies the changes after a revision of an era.
 type blockKey struct {
-	after, revision uint64
+	era, after, revision uint64
 }
 
 // pack returns the batch's entries as a compressed block, or nil if there are none.
@@ -45,7 +45,7 @@
 	if b.Whole {
 		after = 0
 	}
-	key := blockKey{after, b.Revision}
+	key := blockKey{b.Era, after, b.Revision}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if block, known := p.blocks[key]; known {
--- a/relay/peer.go
+++ b/relay/peer.go
@@ -32,7 +32,9 @@
 
 // wireFollow is a request for the changes after a revision.
 type wireFollow struct {
-	After  uint64 `json:"after"`
+	After uint64 `json:"after"`
+	// Era is the era of After; an earlier release sends none.
+	Era    uint64 `json:"era,omitempty"`
 	WaitMS int64  `json:"wait-ms"`
 	// Reporter, Digest and VMs are the follower's report; the VMs are omitted if the receiver should have them.
 	Reporter string   `json:"reporter"`
@@ -49,8 +51,10 @@
 	Entries  []byte `json:"entries,omitempty"`
 	Whole    bool   `json:"whole"`
 	Revision uint64 `json:"revision"`
-	AgeMS    int64  `json:"age-ms"`
-	Fresh    bool   `json:"fresh"`
+	// Era is the era of the revisions; an earlier release sends none.
+	Era   uint64 `json:"era,omitempty"`
+	AgeMS int64  `json:"age-ms"`
+	Fresh bool   `json:"fresh"`
 	// OutageMS is the time since the end of the last outage of the store, or 0 if there was none.
 	OutageMS int64 `json:"outage-ms,omitempty"`
 	// Unknown reports that the VMs of the follower's report are needed.
@@ -103,7 +107,7 @@
 			// The follower should repeat its report, or get the list, without a wait.
 			cancel()
 		}
-		b, fresh := l.Since(ctx, mirror.Position{Revision: req.Msg.After}, interrupt)
+		b, fresh := l.Since(ctx, mirror.Position{Era: req.Msg.Era, Revision: req.Msg.After}, interrupt)
 		if b.Revision == 0 {
 			return nil, connect.NewError(connect.CodeUnavailable, errNoEntries)
 		}
@@ -170,7 +174,7 @@
 func (p *Peer) follow(ctx context.Context, after mirror.Position, wait time.Duration) (mirror.Batch, error) {
 	c := p.client
 	report := c.vms.Report()
-	req := &wireFollow{After: after.Revision, WaitMS: wait.Milliseconds(), Reporter: report.Reporter, Digest: report.Digest}
+	req := &wireFollow{After: after.Revision, Era: after.Era, WaitMS: wait.Milliseconds(), Reporter: report.Reporter, Digest: report.Digest}
 	req.ListOrigin, req.ListVersion = c.vms.Position()
 	if !c.hasReported(p.address, report.Digest) {
 		req.VMs = encodeVMs(report.VMs)
@@ -184,7 +188,11 @@
 	if !resp.Msg.Fresh {
 		return mirror.Batch{}, errors.Wrapf(mirror.ErrStale, "relay: last contact %d ms ago", resp.Msg.AgeMS)
 	}
-	return decode(resp.Msg, time.Now())
+	b, err := decode(resp.Msg, time.Now())
+	if b.Era == 0 && !b.Whole {
+		b.Era = after.Era
+	}
+	return b, err
 }
 
 func (c *Client) hasReported(address string, digest uint64) bool {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -124,6 +124,84 @@
 	}
 }
 
+// keys returns the keys of the entries, removed ones with a minus sign.
+func keys(b mirror.Batch) string {
+	var list []string
+	for _, e := range b.Entries {
+		if e.Deleted {
+			e.Key = "-" + e.Key
+		}
+		list = append(list, e.Key)
+	}
+	return strings.Join(list, " ")
+}
+
+// TestStoreRestored guards against a follower that misses entries, or keeps lost ones, because it knows a revision of the
+// store's history from before the store was restored from an older copy.
+func TestStoreRestored(t *testing.T) {
+	put := func(key string, revision uint64) mirror.Entry { return mirror.Entry{Key: key, Revision: revision} }
+	for name, c := range map[string]struct {
+		after mirror.Position
+		whole bool
+		era   uint64
+		keys  string
+	}{
+		"no position":                           {mirror.Position{}, true, 2, "a c d"},
+		"the last revision of the lost history": {mirror.Position{Era: 1, Revision: 6}, true, 2, "a c d"},
+		"the same number in the lost history":   {mirror.Position{Era: 1, Revision: 5}, true, 2, "a c d"},
+		"a revision of the new history":         {mirror.Position{Era: 2, Revision: 4}, false, 2, "d"},
+		"up to date":                            {mirror.Position{Era: 2, Revision: 5}, false, 2, ""},
+		"a later history":                       {mirror.Position{Era: 3, Revision: 2}, false, 2, ""},
+		"a follower that states no era":         {mirror.Position{Revision: 4}, false, 2, "d"},
+	} {
+		Convey(name, t, func() {
+			l := relay.NewLog()
+			peer, _ := serve(t, l)
+			l.Add(mirror.Batch{Whole: true, Era: 1, Revision: 5, Entries: []mirror.Entry{put("a", 2), put("b", 3)}}, time.Now())
+			// The first answer must not be kept for followers in the new history.
+			_, err := peer.Snapshot(t.Context())
+			So(err, ShouldBeNil)
+			l.Add(mirror.Batch{Era: 1, Revision: 6, Entries: []mirror.Entry{{Key: "b", Revision: 6, Deleted: true}}}, time.Now())
+			l.Add(mirror.Batch{Whole: true, Era: 2, Revision: 3, Entries: []mirror.Entry{put("a", 2), put("c", 3)}}, time.Now())
+			l.Add(mirror.Batch{Era: 2, Revision: 5, Entries: []mirror.Entry{put("d", 5)}}, time.Now())
+			got, err := peer.Watch(t.Context(), c.after, 20*time.Millisecond)
+			So(err, ShouldBeNil)
+			So(keys(got), ShouldEqual, c.keys)
+			So(got.Whole, ShouldEqual, c.whole)
+			So(got.Position(), ShouldResemble, mirror.Position{Era: c.era, Revision: 5})
+		})
+	}
+	Convey("a follower that waits", t, func() {
+		l := relay.NewLog()
+		peer, _ := serve(t, l)
+		l.Add(mirror.Batch{Whole: true, Era: 1, Revision: 5, Entries: []mirror.Entry{put("a", 2)}}, time.Now())
+		_, err := peer.Watch(t.Context(), mirror.Position{Era: 1, Revision: 5}, 0)
+		So(err, ShouldBeNil)
+		time.AfterFunc(50*time.Millisecond, func() {
+			l.Add(mirror.Batch{Whole: true, Era: 2, Revision: 3, Entries: []mirror.Entry{put("c", 3)}}, time.Now())
+		})
+		start := time.Now()
+		got, err := peer.Watch(t.Context(), mirror.Position{Era: 1, Revision: 5}, 5*time.Second)
+		So(err, ShouldBeNil)
+		So(keys(got), ShouldEqual, "c")
+		So(time.Since(start), ShouldBeLessThan, 2*time.Second)
+	})
+}
+
+// TestOlderRead guards against a follower that misses changes because the VM that it follows read older entries again and
+// states the revision that it knew before for them.
+func TestOlderRead(t *testing.T) {
+	Convey("Given a log that goes back to an older read", t, func() {
+		l := relay.NewLog()
+		peer, _ := serve(t, l)
+		l.Add(mirror.Batch{Whole: true, Revision: 6, Entries: []mirror.Entry{{Key: "a", Revision: 6}}}, time.Now())
+		l.Add(mirror.Batch{Whole: true, Revision: 4, Entries: []mirror.Entry{{Key: "a", Revision: 4}}}, time.Now())
+		got, err := peer.Snapshot(t.Context())
+		So(err, ShouldBeNil)
+		So(got.Revision, ShouldEqual, 4)
+	})
+}
+
 // TestReadAgain guards against followers that all get every entry again because the VM that they follow has read all
 // entries again.
 func TestReadAgain(t *testing.T) {
