Store the size of the fleet again after the store has lost it

The class is that of the era: what a VM wrote is remembered beyond the history in which it was written.

A read of all entries without a size records that it is lost, and the watcher writes it again; until then VMs that run use the last one.

Before: membership TestSizeRestored: the size is not stored again; a VM that started after the store was restored is not registered.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -42,6 +42,8 @@
 	leaving bool
 	// storedSize is the size of the fleet that the store states, or 0 if it isn't known.
 	storedSize int
+	// sizeLost reports that the store no longer states a size.
+	sizeLost bool
 }
 
 // New returns a fleet that has only this process's VM.
@@ -88,10 +90,24 @@
 func (f *Fleet) SetStoredSize(n int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.storedSize = n
+	f.storedSize, f.sizeLost = n, false
 }
 
-// StoredSize returns the size of the fleet that the store states, or 0 if it isn't known.
+// LoseStoredSize records that the store states no size. The last one is still used.
+func (f *Fleet) LoseStoredSize() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sizeLost = true
+}
+
+// IsSizeLost reports whether the store has lost the size of the fleet.
+func (f *Fleet) IsSizeLost() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.sizeLost
+}
+
+// StoredSize returns the size of the fleet that the store stated last, or 0 if it isn't known.
 func (f *Fleet) StoredSize() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -212,7 +212,7 @@
 		}
 		// A VM that has found no relays yet seems to be alone.
 		isWatcher := m.config.Fleet.IsListed() && m.place().Tier == topology.Watcher
-		if !isWatcher || time.Since(since) < stableTime || !hasChanged(stored, n) {
+		if !isWatcher || time.Since(since) < stableTime || !m.config.Fleet.IsSizeLost() && !hasChanged(stored, n) {
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, sizeTimeout)
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -86,6 +86,14 @@
 	s.down = down
 }
 
+// has reports whether there is an entry with the key.
+func (s *store) has(key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, exists := s.entries[key]
+	return exists
+}
+
 // latest returns the revision of the last change.
 func (s *store) latest() uint64 {
 	s.mu.Lock()
@@ -627,6 +635,42 @@
 	}
 }
 
+// TestSizeRestored guards against VMs that start as if the fleet were new, and never register, because the store has lost the
+// fleet's size and the watcher believes that it is still stored.
+func TestSizeRestored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s, n := newStore(), &network{nodes: make(map[string]*node)}
+		go s.runStale(ctx)
+		s.put("up-0000", nil)
+		vms := fleetOf(15, 3)
+		nodes := n.startAll(t, s, vms[:14], 1)
+		time.Sleep(3 * time.Second)
+		before := s.latest()
+		if s.has(ownPrefix + "size") {
+			t.Fatal("the size is stored already")
+		}
+		time.Sleep(12 * time.Second)
+		if !s.has(ownPrefix + "size") {
+			t.Fatal("the size is not stored")
+		}
+		s.restore(before)
+		time.Sleep(10 * time.Second)
+		if !s.has(ownPrefix + "size") {
+			t.Error("the size is not stored again")
+		}
+		nodes = append(nodes, n.start(t, s, vms[14]))
+		time.Sleep(5 * time.Second)
+		if !s.has(ownPrefix + vms[14].Name) {
+			t.Error("a VM that started after the store was restored is not registered")
+		}
+		n.kill(s, nodes...)
+		cancel()
+		time.Sleep(10 * time.Second)
+	})
+}
+
 // TestOldReads guards against VMs that take a large fleet for a small one, and all become relays, because reads that may be
 // old show no relays for as long as the fleet starts.
 func TestOldReads(t *testing.T) {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -413,6 +413,7 @@
 func (m *Mirror) replace(changes []Change, now time.Time) (upstreams, vmCount int) {
 	var ups []roster.Upstream
 	var vms []fleet.VM
+	hasSize := false
 	for _, c := range changes {
 		switch c := c.(type) {
 		case UpstreamPut:
@@ -422,6 +423,7 @@
 		case RulesPut:
 			m.installRules(c.Set)
 		case SizePut:
+			hasSize = true
 			m.config.Fleet.SetStoredSize(c.VMs)
 		case DeathPut:
 			m.config.OnDeath(c.Fingerprint, c.Death)
@@ -430,6 +432,9 @@
 		case UpstreamRemoved, VMRemoved:
 		}
 	}
+	if !hasSize {
+		m.config.Fleet.LoseStoredSize()
+	}
 	m.config.Roster.Replace(ups, now)
 	m.config.Fleet.Replace(vms, now)
 	m.config.OnChange()
