Don't release a lease that the restored store has lost

The class is that of the era: a number is used outside the history in which it was given out.

A VM that isn't listed in a later era than that of its registration leaves its lease to expire. Renewals need no change: a VM that isn't listed registers again before it renews.

Before: TestLeaseLost: the copy lacks the registration: lease released: true. After: it passes.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -182,7 +182,7 @@
 		}),
 		Rules: g.mirror.Rules, RulesAge: g.mirror.Age, MaxRulesAge: s.RulesDelay, Bodies: g.bodies, Pick: g.splitter.Pick, Metrics: metrics, Log: g.log,
 	})
-	g.registration = registration.New(g.config.Store, g.fleet.Self(), g.membership.ShouldRegister, g.fleet.IsListed, g.log)
+	g.registration = registration.New(g.config.Store, g.fleet.Self(), g.membership.ShouldRegister, g.fleet.IsListed, func() uint64 { return g.mirror.Position().Era }, g.log)
 	g.kernel.Register("mirror", g.mirror)
 	g.kernel.Register("crash-reports", kernel.NewWorker(g.crashGuard.RunReports))
 	g.kernel.Register("housekeeping", kernel.NewWorker(g.runHousekeeping))
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -349,7 +349,7 @@
 		MayReadStore: x.membership.MayReadStore, Relay: x.log, Roster: x.roster, Fleet: x.fleet,
 		OnChange: func() { x.membership.Update(time.Now()) }, OnDeath: func(uint64, uint64) {}, Log: log,
 	})
-	x.registration = registration.New(s, vm, x.membership.ShouldRegister, x.fleet.IsListed, log)
+	x.registration = registration.New(s, vm, x.membership.ShouldRegister, x.fleet.IsListed, func() uint64 { return x.mirror.Position().Era }, log)
 	ctx, cancel := context.WithCancel(t.Context())
 	x.cancel = cancel
 	for _, service := range []interface{ Start(context.Context) error }{x.membership, x.mirror, x.registration} {
--- a/registration/registration.go
+++ b/registration/registration.go
@@ -56,14 +56,17 @@
 	log   *logrus.Entry
 	// ready reports whether the VM may be registered yet, and listed whether this VM's view of the store lists it.
 	ready, listed func() bool
+	// era returns the era of the store that this VM's view of it belongs to.
+	era func() uint64
 
 	stopOnce sync.Once
 }
 
 // New returns a registration of the VM that begins once ready returns true. The function listed reports whether this VM's
-// view of the store lists it: an entry may be deleted although its lease is valid.
-func New(store Store, vm fleet.VM, ready, listed func() bool, log *logrus.Entry) *Registration {
-	r := &Registration{store: store, vm: vm, ready: ready, listed: listed, log: log}
+// view of the store lists it: an entry may be deleted although its lease is valid. The function era returns the era of that
+// view.
+func New(store Store, vm fleet.VM, ready, listed func() bool, era func() uint64, log *logrus.Entry) *Registration {
+	r := &Registration{store: store, vm: vm, ready: ready, listed: listed, era: era, log: log}
 	r.Worker = kernel.NewWorker(r.run)
 	return r
 }
@@ -82,6 +85,7 @@
 			backoff.Sleep(ctx, readyCheckInterval)
 			continue
 		}
+		era := r.era()
 		lease, err := r.register(ctx)
 		if err != nil {
 			r.log.WithError(err).Debug("registration failed")
@@ -90,13 +94,13 @@
 		}
 		pause.Reset()
 		r.log.WithField("lease", lease).Info("registered this VM in the store")
-		r.keepAlive(ctx, lease)
+		r.keepAlive(ctx, lease, era)
 	}
 }
 
-// keepAlive renews the lease until it has ended, the VM is not listed or ctx is done. Once ctx is done it releases the
-// lease.
-func (r *Registration) keepAlive(ctx context.Context, lease Lease) {
+// keepAlive renews the lease, granted in the era or a later one, until it has ended, the VM is not listed or ctx is done. Once
+// ctx is done it releases the lease.
+func (r *Registration) keepAlive(ctx context.Context, lease Lease, era uint64) {
 	began, pause := time.Now(), renewInterval
 	for backoff.Sleep(ctx, pause) {
 		if time.Since(began) > listingDelay && !r.listed() {
@@ -112,6 +116,11 @@
 			pause = retryInterval
 		}
 	}
+	if r.era() != era && !r.listed() {
+		// The store was restored from a copy without this lease, and may have given its number to another process.
+		r.log.WithField("lease", lease).Info("store has lost the lease; not releasing it")
+		return
+	}
 	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 	defer cancel()
 	if err := r.store.Release(callCtx, lease); err != nil {
--- a/registration/registration_test.go
+++ b/registration/registration_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -90,7 +91,8 @@
 			locked := func(b *bool) func() bool {
 				return func() bool { mu.Lock(); defer mu.Unlock(); return *b }
 			}
-			r := registration.New(s, fleet.VM{Name: "a"}, locked(&ready), locked(&listed), logrus.NewEntry(log))
+			era := func() uint64 { return 0 }
+			r := registration.New(s, fleet.VM{Name: "a"}, locked(&ready), locked(&listed), era, logrus.NewEntry(log))
 			_ = r.Start(t.Context())
 			time.Sleep(2 * time.Second)
 			if n, _ := s.state(); n != 0 {
@@ -116,3 +118,36 @@
 		})
 	}
 }
+
+// TestLeaseLost guards against a VM that leaves and ends the lease of another process, which a store restored from an older
+// copy has given the number of this VM's lost lease.
+func TestLeaseLost(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	for name, c := range map[string]struct {
+		era      uint64
+		listed   bool
+		released bool
+	}{
+		"the copy lacks the registration": {2, false, false},
+		"the copy has the registration":   {2, true, true},
+		"the entry was deleted":           {1, false, true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &store{}
+			var era atomic.Uint64
+			var listed atomic.Bool
+			era.Store(1)
+			listed.Store(true)
+			r := registration.New(s, fleet.VM{Name: "a"}, func() bool { return true }, listed.Load, era.Load, logrus.NewEntry(log))
+			_ = r.Start(t.Context())
+			time.Sleep(5 * time.Second)
+			era.Store(c.era)
+			listed.Store(c.listed)
+			_ = r.Stop(t.Context())
+			if _, gone := s.state(); gone != c.released {
+				t.Errorf("%s: lease released: %t", name, gone)
+			}
+		})
+	}
+}
