Keep an upstream draining when an older entry lists it as ready

Before, only entries of an earlier incarnation counted as older.

An entry of the same incarnation that isn't draining is older than one that is, because an upstream drains only before it ends. An entry that doesn't state its start still replaces the known one.

Before: TestOlderEntry: Expected: false Actual: true (usable). After: it passes.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -128,11 +128,11 @@
 	return r.entries.Len()
 }
 
-// put stores an entry unless it changes nothing or is a late write of an earlier incarnation, and reports whether it did;
-// the caller holds mu.
+// put stores an entry unless it changes nothing or is older than the known one, and reports whether it did; the caller holds
+// mu.
 func (r *Roster) put(u Upstream) bool {
 	old, found, listed := r.entries.Get(u.ID)
-	if found && (listed && old == u || u.StartedMS != 0 && u.StartedMS < old.StartedMS) {
+	if found && (listed && old == u || isOlder(u, old)) {
 		return false
 	}
 	r.entries.Put(u.ID, u)
@@ -140,6 +140,15 @@
 	return true
 }
 
+// isOlder reports whether the entry is older than the known one: of an earlier incarnation, or of the same one before it
+// began to drain, which it does only before it ends.
+func isOlder(u, known Upstream) bool {
+	if u.StartedMS == 0 {
+		return false
+	}
+	return u.StartedMS < known.StartedMS || u.StartedMS == known.StartedMS && known.Draining && !u.Draining
+}
+
 // lists returns the usable upstreams by service and their numbers.
 func (r *Roster) lists() (usable map[string][]Upstream, counts map[place]int) {
 	r.mu.RLock()
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -79,6 +79,38 @@
 	})
 }
 
+// TestOlderEntry guards against requests to an upstream that is draining, while a store restored from an older copy lists it
+// as it was before.
+func TestOlderEntry(t *testing.T) {
+	ready := roster.Upstream{ID: "u", Service: "s", StartedMS: 5}
+	draining := ready
+	draining.Draining = true
+	restarted, unstated := ready, ready
+	restarted.StartedMS, unstated.StartedMS = 6, 0
+	for name, c := range map[string]struct {
+		entry roster.Upstream
+		want  bool
+	}{
+		"of the same incarnation": {ready, false},
+		"of a later incarnation":  {restarted, true},
+		"without its start":       {unstated, true},
+	} {
+		Convey("Given a draining upstream and an entry "+name, t, func() {
+			for _, put := range []func(*roster.Roster){
+				func(r *roster.Roster) { r.Put(c.entry) },
+				func(r *roster.Roster) { r.Replace([]roster.Upstream{c.entry}, time.Unix(100, 0)) },
+			} {
+				r := roster.New()
+				r.Put(ready)
+				r.Put(draining)
+				put(r)
+				So(r.IsUsable(c.entry), ShouldEqual, c.want)
+				So(len(r.Usable("s")) == 1, ShouldEqual, c.want)
+			}
+		})
+	}
+}
+
 // TestManyChanges guards against a sort of all upstreams for each change: a fleet that starts registers a thousand within a
 // second, and each VM applies them all.
 func TestManyChanges(t *testing.T) {
