Test the grace period after a restore, and followers of VMs that know no era

TestGraceAfterRestore fails without the grace period that begins with a new era: "1 upstreams 1.5 s after the store was restored, want 4". TestEarlierRelease covers the wire type of releases before the era.

--- a/mirror/history_test.go
+++ b/mirror/history_test.go
@@ -182,3 +182,27 @@
 		_ = m.Stop(t.Context())
 	})
 }
+
+// TestGraceAfterRestore guards against dropping upstreams at once that a store restored from an older copy lacks, because it
+// was away for too short a time to count as lost.
+func TestGraceAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		time.Sleep(time.Hour)
+		store := &history{era: 1, keys: []string{"a", "b", "c", "d"}}
+		m, r := newHistoryMirror(store)
+		_ = m.Start(t.Context())
+		time.Sleep(5 * time.Second)
+		store.restore(1)
+		time.Sleep(1500 * time.Millisecond)
+		r.Expire(time.Now())
+		if r.Len() != 4 {
+			t.Errorf("%d upstreams 1.5 s after the store was restored, want 4", r.Len())
+		}
+		time.Sleep(2 * time.Second)
+		r.Expire(time.Now())
+		if r.Len() != 1 {
+			t.Errorf("%d upstreams after the grace period, want 1", r.Len())
+		}
+		_ = m.Stop(t.Context())
+	})
+}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -188,6 +188,23 @@
 	})
 }
 
+// TestEarlierRelease guards against VMs that can't follow a VM of a release that doesn't know eras while they are replaced one
+// after the other.
+func TestEarlierRelease(t *testing.T) {
+	Convey("Given a server that states no era", t, func() {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "application/json")
+			_, _ = w.Write([]byte(`{"whole":false,"revision":7,"age-ms":3,"fresh":true,"list":{"origin":"","version":0}}`))
+		}))
+		defer s.Close()
+		client := relay.NewClient(newTable("follower"))
+		defer client.Close()
+		got, err := relay.NewPeer(client, strings.TrimPrefix(s.URL, "http://")).Watch(t.Context(), mirror.Position{Era: 3, Revision: 7}, 0)
+		So(err, ShouldBeNil)
+		So(got.Position(), ShouldResemble, mirror.Position{Era: 3, Revision: 7})
+	})
+}
+
 // TestOlderRead guards against a follower that misses changes because the VM that it follows read older entries again and
 // states the revision that it knew before for them.
 func TestOlderRead(t *testing.T) {
