--- a/mirror/change.go
+++ b/mirror/change.go
@@ -17,6 +17,9 @@
 // ErrCompacted marks a watch from a revision that the store's history no longer covers.
 var ErrCompacted = errors.New("the store no longer holds the changes since the revision")
 
+// ErrRestored marks an answer that belongs to another history of the store than the entries that it would extend.
+var ErrRestored = errors.New("the store was restored from an older copy")
+
 // Change is one change of the store's content.
 type Change interface {
 	isChange()
@@ -83,11 +86,22 @@
 	Deleted bool
 }
 
+// Position is a point in a history of the store's changes.
+type Position struct {
+	// Era is the number of the history. It rises when the store is restored from an older copy, after which revisions are
+	// given out again. It is 0 if the source states none.
+	Era uint64
+	// Revision is the revision of the last change in the history before the point.
+	Revision uint64
+}
+
 // Batch is one answer of a source.
 type Batch struct {
 	// Entries are the changes in their order, or all entries if Whole is true.
 	Entries []Entry
 	Whole   bool
+	// Era is the number of the history to which the revisions belong.
+	Era uint64
 	// Revision is the revision up to which Entries is complete.
 	Revision uint64
 	// Age is the time since the source's last contact with the store; it is 0 for the store itself.
@@ -97,11 +111,17 @@
 	OutageEnd time.Time
 }
 
+// Position returns the point in the store's history up to which the entries are complete.
+func (b Batch) Position() Position {
+	return Position{Era: b.Era, Revision: b.Revision}
+}
+
 // Source provides the entries: the store, or a VM that watches it.
 type Source interface {
 	// Snapshot returns all entries.
 	Snapshot(ctx context.Context) (Batch, error)
-	// Watch returns the changes after the revision. It returns no changes if there are none within the wait, and
-	// ErrCompacted if changes may be missing.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (Batch, error)
+	// Watch returns the changes after the position. It returns no changes if there are none within the wait, and
+	// ErrCompacted if changes may be missing. If the position belongs to another history, it may return all entries, or
+	// those after the same revision in its own history.
+	Watch(ctx context.Context, after Position, wait time.Duration) (Batch, error)
 }
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -115,8 +115,10 @@
 	rules  atomic.Pointer[ruleset.Set]
 	// lastContact is the time of the last contact with the store, in ns since start.
 	lastContact atomic.Int64
-	start       time.Time
-	storeLost   bool
+	// position is the point in the store's history up to which the view is complete.
+	position  atomic.Pointer[Position]
+	start     time.Time
+	storeLost bool
 	// outageEnd is the end of the last outage of the store that this VM has noticed or heard of.
 	outageEnd time.Time
 	// lastStoreCall is the time of the last call to the store.
@@ -139,6 +141,7 @@
 // New returns a mirror without entries.
 func New(c Config) *Mirror {
 	m := &Mirror{config: c, start: time.Now(), avoidUntil: make(map[string]time.Time), jitter: rand.Float64()}
+	m.position.Store(&Position{})
 	m.Worker = kernel.NewWorker(m.follow)
 	return m
 }
@@ -148,13 +151,18 @@
 	return m.rules.Load()
 }
 
+// Position returns the point in the store's history up to which the view is complete.
+func (m *Mirror) Position() Position {
+	return *m.position.Load()
+}
+
 // Age returns the time since the last contact with the store.
 func (m *Mirror) Age() time.Duration {
 	return time.Since(m.start) - time.Duration(m.lastContact.Load())
 }
 
-// join gets the first entries from a peer, or from the store, and returns their revision. It returns false once ctx is done.
-func (m *Mirror) join(ctx context.Context) (revision uint64, ok bool) {
+// join gets the first entries from a peer, or from the store. It returns false once ctx is done.
+func (m *Mirror) join(ctx context.Context) bool {
 	pause := backoff.New(minDiscoveryPause, maxDiscoveryPause)
 	discoverAt, searchedAgain := time.Now(), false
 	for ctx.Err() == nil {
@@ -163,9 +171,9 @@
 			discoverAt = time.Now().Add(pause.Next())
 		}
 		for _, p := range m.config.Sources().Peers {
-			b, err := m.fetch(ctx, step{peer: &p, maxAge: maxAge}, 0, false)
+			_, err := m.fetch(ctx, step{peer: &p, maxAge: maxAge}, false)
 			if err == nil {
-				return b.Revision, true
+				return true
 			}
 			m.config.Log.WithError(err).WithField("peer", p.Name).Debug("peer has no entries for this VM yet")
 		}
@@ -177,16 +185,16 @@
 		}
 		if ctx.Err() == nil && m.config.MayReadStore() {
 			m.lastStoreCall = time.Now()
-			b, err := m.fetch(ctx, step{}, 0, false)
+			_, err := m.fetch(ctx, step{}, false)
 			if err == nil {
-				return b.Revision, true
+				return true
 			}
 			m.recordFailure(err)
 			backoff.Sleep(ctx, minPause)
 		}
 		backoff.Sleep(ctx, joinPause)
 	}
-	return 0, false
+	return false
 }
 
 // discover looks for relays.
@@ -210,7 +218,7 @@
 // follow gets all entries and then watches, until ctx is done.
 func (m *Mirror) follow(ctx context.Context) {
 	pause := backoff.New(minPause, maxPause)
-	revision, hasRevision := m.join(ctx)
+	canWatch := m.join(ctx)
 	// storeOnly is true while only the store can provide the missing changes, watchBroken after its last watch has failed.
 	storeOnly, watchBroken := false, false
 	for ctx.Err() == nil {
@@ -223,7 +231,7 @@
 			// The batch delay counts as part of the wait, so that followers never get data older than one wait.
 			s.wait = max(s.wait-m.Age(), minWait)
 		}
-		b, err := m.fetch(ctx, s, revision, hasRevision)
+		b, err := m.fetch(ctx, s, canWatch)
 		if s.peer == nil {
 			m.storeAnswers = err == nil
 		}
@@ -235,25 +243,29 @@
 		case err == nil:
 			pause.Reset()
 			m.storeAnswers = s.peer == nil
-			revision, hasRevision, storeOnly, watchBroken = max(b.Revision, revision), true, false, false
+			canWatch, storeOnly, watchBroken = true, false, false
 			if len(b.Entries) > 0 {
 				m.pauseAfterChanges(ctx, s.peer == nil)
 			} else if s.peer != nil && s.wait == 0 {
 				backoff.Sleep(ctx, refreshPause)
 			}
+		case errors.Is(err, ErrRestored):
+			// The source answers, so no pause is needed.
+			m.config.Log.WithError(err).Info("position belongs to an earlier history of the store; reading all entries")
+			canWatch, storeOnly = false, s.peer == nil
 		case s.peer != nil:
 			m.avoid(s.peer.Name, err)
 		case errors.Is(err, ErrCompacted):
 			// The store answers, so no pause is needed.
-			m.config.Log.WithField("revision", revision).Info("store no longer holds the next changes; reading all entries")
-			hasRevision, storeOnly = false, true
-		case hasRevision && !watchBroken:
+			m.config.Log.WithField("revision", m.Position().Revision).Info("store no longer holds the next changes; reading all entries")
+			canWatch, storeOnly = false, true
+		case canWatch && !watchBroken:
 			// A watch may break although the store answers, so all entries are read at once.
 			m.config.Log.WithError(err).Info("watch of the store failed; reading all entries")
 			watchBroken = true
 		default:
 			m.recordFailure(err)
-			hasRevision = hasRevision && !m.storeLost
+			canWatch = canWatch && !m.storeLost
 			pause.Wait(ctx)
 		}
 	}
@@ -269,13 +281,13 @@
 }
 
 // fetch reads all entries or waits for changes, and applies them.
-func (m *Mirror) fetch(ctx context.Context, s step, revision uint64, hasRevision bool) (Batch, error) {
+func (m *Mirror) fetch(ctx context.Context, s step, canWatch bool) (Batch, error) {
 	source, timeout := m.config.Store, readTimeout
 	switch {
 	case s.peer != nil:
 		source = s.peer.Source
 		switch {
-		case !hasRevision:
+		case !canWatch:
 			timeout = joinTimeout
 		case s.wait > 0:
 			timeout = s.wait + peerSlack
@@ -283,8 +295,8 @@
 			timeout = refreshTimeout
 		}
 	case s.wait == 0:
-		hasRevision = false
-	case hasRevision:
+		canWatch = false
+	case canWatch:
 		timeout = s.wait + storeSlack
 	}
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
@@ -295,41 +307,58 @@
 	began := time.Now()
 	var b Batch
 	var err error
-	if hasRevision {
-		b, err = source.Watch(callCtx, revision, s.wait)
+	if canWatch {
+		b, err = source.Watch(callCtx, m.Position(), s.wait)
 	} else {
 		b, err = source.Snapshot(callCtx)
 	}
 	if err == nil && s.peer != nil && b.Age > s.maxAge {
 		err = errors.Mark(errors.Newf("last contact of the peer with the store was %d ms ago", b.Age.Milliseconds()), ErrStale)
 	}
+	before := m.Position()
+	if err == nil {
+		err = checkHistory(b, before, s.peer != nil)
+	}
 	if err != nil {
 		return Batch{}, err
 	}
 	now := time.Now()
 	lastContact := now.Add(-b.Age)
-	if !hasRevision {
+	if !canWatch {
 		lastContact = began.Add(-b.Age)
 	}
 	m.recordSuccess(lastContact, s.peer == nil)
+	if before != (Position{}) && b.Era != before.Era {
+		m.recordRestore(b, before, lastContact, s.peer == nil)
+	}
 	if b.OutageEnd.After(m.outageEnd.Add(sameOutage)) {
 		m.beginGrace(b.OutageEnd)
 	}
 	b.OutageEnd = m.outageEnd
 	m.config.Relay.Add(b, lastContact)
-	m.applyBatch(b, now)
+	position := b.Position()
+	if !b.Whole {
+		position.Revision = max(position.Revision, before.Revision)
+	}
+	m.position.Store(&position)
+	m.applyBatch(b, s.peer, now)
 	return b, nil
 }
 
-// applyBatch decodes a batch and applies it.
-func (m *Mirror) applyBatch(b Batch, now time.Time) {
+// applyBatch decodes a batch of the peer, or of the store if peer is nil, and applies it.
+func (m *Mirror) applyBatch(b Batch, peer *Peer, now time.Time) {
 	var changes []Change
 	for _, e := range b.Entries {
 		changes = append(changes, m.config.Decode(e, now)...)
 	}
 	switch {
 	case b.Whole:
-		m.replace(changes, now)
+		upstreams, vms := m.replace(changes, now)
+		log := m.config.Log.WithFields(logrus.Fields{"upstreams": upstreams, "vms": vms, "era": b.Era, "revision": b.Revision})
+		if peer != nil {
+			log = log.WithField("peer", peer.Name)
+		}
+		log.Info("all entries read")
 	case len(changes) > 0:
 		m.apply(changes, now)
 	}
@@ -358,6 +387,29 @@
 	m.lastContact.Store(int64(contact.Sub(m.start)))
 }
 
+// checkHistory checks that a batch may be applied to entries up to the position. Changes count from a revision of their own
+// history, and a peer may not have heard yet that the store was restored. A peer of an earlier release states no era.
+func checkHistory(b Batch, position Position, byPeer bool) error {
+	switch {
+	case byPeer && b.Era != 0 && b.Era < position.Era:
+		return errors.Mark(errors.Newf("the peer is in era %d of the store, this VM in era %d", b.Era, position.Era), ErrStale)
+	case !b.Whole && b.Era != position.Era:
+		return errors.Mark(errors.Newf("changes are of era %d, entries of era %d", b.Era, position.Era), ErrRestored)
+	}
+	return nil
+}
+
+// recordRestore records that the source has begun another history. Entries that the store has lost stay for a grace period,
+// in which they may be written again. A peer tells by itself when that period began.
+func (m *Mirror) recordRestore(b Batch, before Position, contact time.Time, byStore bool) {
+	m.config.Log.WithFields(logrus.Fields{
+		"era": b.Era, "revision": b.Revision, "earlier-era": before.Era, "earlier-revision": before.Revision,
+	}).Warn("store was restored from an older copy")
+	if byStore {
+		m.beginGrace(contact)
+	}
+}
+
 // beginGrace begins the grace period after an outage.
 func (m *Mirror) beginGrace(end time.Time) {
 	m.outageEnd = end
@@ -365,10 +417,11 @@
 	m.config.Fleet.BeginGrace(end)
 }
 
-// replace applies a whole list of entries.
-func (m *Mirror) replace(changes []Change, now time.Time) {
+// replace applies a whole list of entries and returns the numbers of its upstreams and VMs.
+func (m *Mirror) replace(changes []Change, now time.Time) (upstreams, vmCount int) {
 	var ups []roster.Upstream
 	var vms []fleet.VM
+	hasSize := false
 	for _, c := range changes {
 		switch c := c.(type) {
 		case UpstreamPut:
@@ -378,6 +431,7 @@
 		case RulesPut:
 			m.installRules(c.Set)
 		case SizePut:
+			hasSize = true
 			m.config.Fleet.SetStoredSize(c.VMs)
 		case DeathPut:
 			m.config.OnDeath(c.Fingerprint, c.Death)
@@ -386,10 +440,13 @@
 		case UpstreamRemoved, VMRemoved:
 		}
 	}
+	if !hasSize {
+		m.config.Fleet.LoseStoredSize()
+	}
 	m.config.Roster.Replace(ups, now)
 	m.config.Fleet.Replace(vms, now)
-	m.config.Log.WithFields(logrus.Fields{"upstreams": len(ups), "vms": len(vms)}).Info("all entries read")
 	m.config.OnChange()
+	return len(ups), len(vms)
 }
 
 // apply applies changes in their order.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -111,7 +111,7 @@
 			l.Add(mirror.Batch{Whole: true, Revision: 4, Entries: []mirror.Entry{put("a", 2), put("b", 3), put("c", 4)}}, time.Now())
 			l.Add(mirror.Batch{Revision: 6, Entries: []mirror.Entry{removed("c", 5), put("a", 6)}}, time.Now().Add(-time.Second))
 			peer, _ := serve(t, l)
-			got, err := peer.Watch(t.Context(), c.after, 20*time.Millisecond)
+			got, err := peer.Watch(t.Context(), mirror.Position{Revision: c.after}, 20*time.Millisecond)
 			So(err, ShouldBeNil)
 			var keys []string
 			for _, e := range got.Entries {
@@ -124,6 +124,101 @@
 	}
 }
 
+// keys returns the keys of the entries, removed ones with a minus sign.
+func keys(b mirror.Batch) string {
+	var list []string
+	for _, e := range b.Entries {
+		if e.Deleted {
+			e.Key = "-" + e.Key
+		}
+		list = append(list, e.Key)
+	}
+	return strings.Join(list, " ")
+}
+
+// TestStoreRestored guards against a follower that misses entries, or keeps lost ones, because it knows a revision of the
+// store's history from before the store was restored from an older copy.
+func TestStoreRestored(t *testing.T) {
+	put := func(key string, revision uint64) mirror.Entry { return mirror.Entry{Key: key, Revision: revision} }
+	for name, c := range map[string]struct {
+		after mirror.Position
+		whole bool
+		era   uint64
+		keys  string
+	}{
+		"no position":                           {mirror.Position{}, true, 2, "a c d"},
+		"the last revision of the lost history": {mirror.Position{Era: 1, Revision: 6}, true, 2, "a c d"},
+		"the same number in the lost history":   {mirror.Position{Era: 1, Revision: 5}, true, 2, "a c d"},
+		"a revision of the new history":         {mirror.Position{Era: 2, Revision: 4}, false, 2, "d"},
+		"up to date":                            {mirror.Position{Era: 2, Revision: 5}, false, 2, ""},
+		"a later history":                       {mirror.Position{Era: 3, Revision: 2}, false, 2, ""},
+		"a follower that states no era":         {mirror.Position{Revision: 4}, false, 2, "d"},
+	} {
+		Convey(name, t, func() {
+			l := relay.NewLog()
+			peer, _ := serve(t, l)
+			l.Add(mirror.Batch{Whole: true, Era: 1, Revision: 5, Entries: []mirror.Entry{put("a", 2), put("b", 3)}}, time.Now())
+			// The first answer must not be kept for followers in the new history.
+			_, err := peer.Snapshot(t.Context())
+			So(err, ShouldBeNil)
+			l.Add(mirror.Batch{Era: 1, Revision: 6, Entries: []mirror.Entry{{Key: "b", Revision: 6, Deleted: true}}}, time.Now())
+			l.Add(mirror.Batch{Whole: true, Era: 2, Revision: 3, Entries: []mirror.Entry{put("a", 2), put("c", 3)}}, time.Now())
+			l.Add(mirror.Batch{Era: 2, Revision: 5, Entries: []mirror.Entry{put("d", 5)}}, time.Now())
+			got, err := peer.Watch(t.Context(), c.after, 20*time.Millisecond)
+			So(err, ShouldBeNil)
+			So(keys(got), ShouldEqual, c.keys)
+			So(got.Whole, ShouldEqual, c.whole)
+			So(got.Position(), ShouldResemble, mirror.Position{Era: c.era, Revision: 5})
+		})
+	}
+	Convey("a follower that waits", t, func() {
+		l := relay.NewLog()
+		peer, _ := serve(t, l)
+		l.Add(mirror.Batch{Whole: true, Era: 1, Revision: 5, Entries: []mirror.Entry{put("a", 2)}}, time.Now())
+		_, err := peer.Watch(t.Context(), mirror.Position{Era: 1, Revision: 5}, 0)
+		So(err, ShouldBeNil)
+		time.AfterFunc(50*time.Millisecond, func() {
+			l.Add(mirror.Batch{Whole: true, Era: 2, Revision: 3, Entries: []mirror.Entry{put("c", 3)}}, time.Now())
+		})
+		start := time.Now()
+		got, err := peer.Watch(t.Context(), mirror.Position{Era: 1, Revision: 5}, 5*time.Second)
+		So(err, ShouldBeNil)
+		So(keys(got), ShouldEqual, "c")
+		So(time.Since(start), ShouldBeLessThan, 2*time.Second)
+	})
+}
+
+// TestEarlierRelease guards against VMs that can't follow a VM of a release that doesn't know eras while they are replaced one
+// after the other.
+func TestEarlierRelease(t *testing.T) {
+	Convey("Given a server that states no era", t, func() {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "application/json")
+			_, _ = w.Write([]byte(`{"whole":false,"revision":7,"age-ms":3,"fresh":true,"list":{"origin":"","version":0}}`))
+		}))
+		defer s.Close()
+		client := relay.NewClient(newTable("follower"))
+		defer client.Close()
+		got, err := relay.NewPeer(client, strings.TrimPrefix(s.URL, "http://")).Watch(t.Context(), mirror.Position{Era: 3, Revision: 7}, 0)
+		So(err, ShouldBeNil)
+		So(got.Position(), ShouldResemble, mirror.Position{Era: 3, Revision: 7})
+	})
+}
+
+// TestOlderRead guards against a follower that misses changes because the VM that it follows read older entries again and
+// states the revision that it knew before for them.
+func TestOlderRead(t *testing.T) {
+	Convey("Given a log that goes back to an older read", t, func() {
+		l := relay.NewLog()
+		peer, _ := serve(t, l)
+		l.Add(mirror.Batch{Whole: true, Revision: 6, Entries: []mirror.Entry{{Key: "a", Revision: 6}}}, time.Now())
+		l.Add(mirror.Batch{Whole: true, Revision: 4, Entries: []mirror.Entry{{Key: "a", Revision: 4}}}, time.Now())
+		got, err := peer.Snapshot(t.Context())
+		So(err, ShouldBeNil)
+		So(got.Revision, ShouldEqual, 4)
+	})
+}
+
 // TestReadAgain guards against followers that all get every entry again because the VM that they follow has read all
 // entries again.
 func TestReadAgain(t *testing.T) {
@@ -134,7 +229,7 @@
 		}}, time.Now())
 		l.Add(mirror.Batch{Whole: true, Revision: 7, Entries: []mirror.Entry{{Key: "a", Revision: 2}, {Key: "c", Revision: 6}}}, time.Now())
 		peer, _ := serve(t, l)
-		got, err := peer.Watch(t.Context(), 4, 0)
+		got, err := peer.Watch(t.Context(), mirror.Position{Revision: 4}, 0)
 		So(err, ShouldBeNil)
 		So(got, ShouldResemble, mirror.Batch{Revision: 7, Age: got.Age, Entries: []mirror.Entry{
 			{Key: "c", Revision: 6}, {Key: "b", Revision: 7, Deleted: true},
@@ -152,7 +247,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 		defer cancel()
 		go func() {
-			_, err := peer.Watch(ctx, 1, 5*time.Second)
+			_, err := peer.Watch(ctx, mirror.Position{Revision: 1}, 5*time.Second)
 			result <- err
 		}()
 		time.Sleep(50 * time.Millisecond)
@@ -173,7 +268,7 @@
 		peer, _ := serveList(t, l, server, follower)
 		watch := func() time.Duration {
 			start := time.Now()
-			_, err := peer.Watch(t.Context(), 1, 300*time.Millisecond)
+			_, err := peer.Watch(t.Context(), mirror.Position{Revision: 1}, 300*time.Millisecond)
 			So(err, ShouldBeNil)
 			return time.Since(start)
 		}
