Don't send a request whose caller left while it waited for a connection

Cause: an attempt waits for a connection with the context of the attempts, which for a request that isn't idempotent ends at the deadline and not when the caller leaves. So the request was sent when a connection of the share became free, up to its whole time after the caller had left. An idle connection was taken even if the attempt had been cancelled, and the bytes raced with the interruption.

Change: a connection is handed out only while neither the attempt nor its caller has ended, and a wait for one ends with either. A connection that was opened meanwhile goes to the idle ones.

TestCallerLeavesBeforeSending on the code before: three of four cases send the request, the fourth waits until the deadline.

--- a/exchange/attempt.go
+++ b/exchange/attempt.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return unsent(outcome.BadRequest, err.Error()), false
 	}
-	if a.conn, a.reused, err = a.pool.get(ctx, a.upstream.Address); err != nil {
+	if a.conn, a.reused, err = a.pool.get(ctx, a.caller, a.upstream.Address); err != nil {
 		return a.resultWithoutAnswer(ctx, err)
 	}
 	a.conn.begin(a.request.Deadline)
@@ -165,7 +165,7 @@
 	switch {
 	case isExpired(ctx, a.request):
 		return unsent(outcome.DeadlineUnreachable, "deadline passed before a connection was free"), false
-	case ctx.Err() != nil:
+	case ctx.Err() != nil || errors.Is(err, context.Canceled):
 		return unsent(outcome.Cancelled, "cancelled before sending"), false
 	default:
 		return unsent(outcome.Unreachable, err.Error()), a.reused
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -455,3 +455,66 @@
 		So(s.connections.Load(), ShouldEqual, 1)
 	})
 }
+
+// TestCallerLeavesBeforeSending guards against requests that reach an upstream after their caller has left, because they
+// waited for a connection or because one was free.
+func TestCallerLeavesBeforeSending(t *testing.T) {
+	tests := map[string]struct {
+		// requestsBefore is the number of requests that end before the caller leaves, and share is that of connections.
+		requestsBefore, share int
+		// inProgress is true if another request occupies a connection until the caller has left.
+		inProgress bool
+	}{
+		"no connection":                     {0, 4, false},
+		"an idle connection":                {1, 4, false},
+		"a connection that becomes free":    {1, 1, true},
+		"a further connection in the share": {1, 2, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			held, proceed := make(chan struct{}), make(chan struct{})
+			s := startScripted(t, func(_ int64, r *http.Request) (string, bool) {
+				id := r.Header.Get("Fulmarhitch-Request-Id")
+				if id == "held" {
+					close(held)
+					<-proceed
+				}
+				return response(id, "x"), true
+			})
+			e := exchange.New(func(string) int { return tt.share })
+			defer e.Close()
+			up := upstream(s.Addr().String())
+			for i := range tt.requestsBefore {
+				e.Do(t.Context(), newRequest(fmt.Sprint("r", i), ""), up, 1<<20)
+			}
+			ended := make(chan struct{})
+			if tt.inProgress {
+				go func() {
+					defer close(ended)
+					e.Do(t.Context(), newRequest("held", ""), up, 1<<20)
+				}()
+				<-held
+			} else {
+				close(ended)
+			}
+			sent := s.requests.Load()
+			caller, leave := context.WithCancel(t.Context())
+			time.AfterFunc(20*time.Millisecond, leave)
+			time.AfterFunc(200*time.Millisecond, func() { close(proceed) })
+			if !tt.inProgress || tt.share > 1 {
+				leave()
+			}
+			res := e.DoFor(t.Context(), caller, newRequest("late", ""), up, 1<<20)
+			if want := (outcome.NotRun{Reason: outcome.Cancelled, Detail: "cancelled before sending"}); res.Class != exchange.Unsent || res.Outcome != want {
+				t.Errorf("class %s, outcome %+v", res.Class, res.Outcome)
+			}
+			<-ended
+			if n := s.requests.Load() - sent; n != 0 {
+				t.Errorf("%d requests were sent after their caller had left", n)
+			}
+			if res := e.Do(t.Context(), newRequest("next", ""), up, 1<<20); res.Class != exchange.Answered {
+				t.Errorf("the next request: class %s, outcome %+v", res.Class, res.Outcome)
+			}
+		})
+	}
+}
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/netip"
@@ -104,9 +105,13 @@
 	}
 }
 
-// get returns an idle connection that the upstream has not closed, or a new one within the share.
-func (p *connPool) get(ctx context.Context, address string) (c *conn, reused bool, err error) {
+// get returns an idle connection that the upstream has not closed, or a new one within the share. It returns an error once
+// ctx or caller is done, also if a connection is free.
+func (p *connPool) get(ctx, caller context.Context, address string) (c *conn, reused bool, err error) {
 	for {
+		if err := cmp.Or(ctx.Err(), caller.Err()); err != nil {
+			return nil, false, errors.Wrap(err, "the request has ended")
+		}
 		c, changed := p.next(address)
 		switch {
 		case c != nil && c.isReusable():
@@ -115,16 +120,21 @@
 			_ = c.Close()
 			continue
 		case changed == nil:
-			c, err := p.connect(ctx, address)
-			return c, false, err
+			if c, err = p.connect(ctx, address); err != nil || caller.Err() == nil {
+				return c, false, err
+			}
+			// Another request may use the connection.
+			p.put(c, 0)
+			continue
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		case <-caller.Done():
 		}
-		err := wait(ctx, changed)
 		p.mu.Lock()
 		p.waiting--
 		p.mu.Unlock()
-		if err != nil {
-			return nil, false, err
-		}
 	}
 }
 
