Look whether the caller has left before a request is sent

Cause: a VM that is far behind reads a request whole after its caller has closed. The handler starts with a context that isn't done, because the close is read by a further goroutine of the HTTP server, and the choice of an upstream looked at the context only between two rounds; a retry and a hedge did not look at all. So requests were sent on long after their callers had left.

Change: keepalive.HasLeft peeks at the socket of the connection, without a read and without a wait. The forwarder asks before it polls upstreams, and again before the first send, a retry and a hedge.

Before: 11 of 14 cases of TestCallerLeavesBeforeSending send a request too many (all in which the caller leaves); of the requests of TestCallerLeavesBeforeRead whose callers had closed, 30 of 30 reached the forwarder with a context that wasn't done.

--- a/forwarder/choose.go
+++ b/forwarder/choose.go
@@ -52,8 +52,14 @@
 func (r *run) acquire(ctx context.Context) (*choice, outcome.Outcome) {
 	usual := r.config.Times.Usual(r.job.Rule)
 	target := r.target()
+	if r.hasLeft() {
+		return nil, outcome.NotRun{Reason: outcome.Cancelled}
+	}
 	for round := 0; ; round++ {
 		c := r.choose(round%roundsPerFar == 0)
+		if r.hasLeft() {
+			return nil, outcome.NotRun{Reason: outcome.Cancelled}
+		}
 		waited := time.Since(r.job.Arrived)
 		late := waited+usual > target
 		isKnown := len(r.config.Roster.Usable(r.job.Request.Service)) > 0
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -154,10 +154,15 @@
 	return r.fallback
 }
 
+// hasLeft reports whether the caller has left, after which the request must not be sent.
+func (r *run) hasLeft() bool {
+	return r.caller.Err() != nil || r.job.HasLeft != nil && r.job.HasLeft()
+}
+
 // retry sends the request again after a failed attempt, if an upstream has a free slot and the budget allows it.
 func (r *run) retry() {
 	c := r.choose(true)
-	if c != nil && selection.FreeSlots(c.Candidate) > 0 && r.config.Retries.Spend(r.job.Request.Service, false) {
+	if c != nil && !r.hasLeft() && selection.FreeSlots(c.Candidate) > 0 && r.config.Retries.Spend(r.job.Request.Service, false) {
 		r.send(c, false)
 	}
 }
@@ -216,7 +221,7 @@
 		return
 	}
 	c := r.choose(true)
-	if c == nil || selection.FreeSlots(c.Candidate) == 0 || len(r.results) > 0 {
+	if c == nil || selection.FreeSlots(c.Candidate) == 0 || len(r.results) > 0 || r.hasLeft() {
 		return
 	}
 	usual := r.config.Times.Usual(r.job.Rule)
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -351,3 +351,93 @@
 		}
 	})
 }
+
+// leavingSampler is a sampler whose polls take some time. The caller leaves during the poll with the number, from 1, or has
+// left before with 0.
+type leavingSampler struct {
+	*service
+	during, polls int
+	leave         func()
+}
+
+// Poll waits, and reports the loads of the upstreams.
+func (l *leavingSampler) Poll(ups []roster.Upstream, path string, maxWait time.Duration) {
+	if l.polls++; l.polls == l.during {
+		l.leave()
+	}
+	time.Sleep(time.Millisecond)
+	l.service.Poll(ups, path, maxWait)
+}
+
+// TestCallerLeavesBeforeSending guards against requests that are sent after their caller has left, on a VM that is so busy
+// that the context of the request doesn't tell yet: as the first attempt, as a retry and as a hedge.
+func TestCallerLeavesBeforeSending(t *testing.T) {
+	tests := map[string]struct {
+		rule *ruleset.Rule
+		// during is the poll during which the caller leaves, and isTold is true if the context tells.
+		during int
+		isTold bool
+		// shedding upstreams refuse all requests, and slow ones take nine tenths of the time.
+		shedding, slow bool
+		want           int
+	}{
+		"before the first poll":                  {plain, 0, false, false, false, 0},
+		"before the first poll, not idempotent":  {urgent, 0, false, false, false, 0},
+		"before the first poll, told":            {plain, 0, true, false, false, 0},
+		"during the first poll":                  {plain, 1, false, false, false, 0},
+		"during the first poll, told":            {plain, 1, true, false, false, 0},
+		"during the first poll, not idempotent":  {urgent, 1, true, false, false, 0},
+		"before a retry":                         {plain, 2, false, true, false, 1},
+		"before a retry, told":                   {plain, 2, true, true, false, 1},
+		"before a retry, not idempotent":         {urgent, 2, false, true, false, 1},
+		"before a hedge":                         {plain, 2, false, false, true, 1},
+		"before a hedge, told":                   {plain, 2, true, false, true, 1},
+		"never, with a retry":                    {plain, -1, false, true, false, 2},
+		"never, with a retry of a refused write": {urgent, -1, false, true, false, 2},
+		"never, with a hedge":                    {plain, -1, false, false, true, 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, r := newService(2, 3)
+				for _, u := range s.ups {
+					if tt.shedding {
+						u.shedRate = 1
+					}
+				}
+				hasLeft := tt.during == 0
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				leave := func() {
+					hasLeft = true
+					if tt.isTold {
+						cancel()
+					}
+				}
+				if hasLeft {
+					leave()
+				}
+				retries := forwarder.NewRetries(1)
+				retries.SetBurst(10)
+				for range 100 {
+					retries.Earn("s")
+				}
+				f := forwarder.New(forwarder.Config{
+					FailureDomain: "near", Roster: r, Conditions: s.table, Transport: s, Retries: retries, Times: forwarder.NewTimes(),
+					Sampler: &leavingSampler{service: s, during: tt.during, leave: leave}, Pressure: forwarder.NewPressure(),
+				})
+				work := 10
+				if tt.slow {
+					work = 900
+				}
+				f.Serve(ctx, forwarder.Job{Rule: tt.rule, Arrived: time.Now(), HasLeft: func() bool { return hasLeft }, Request: &request.Request{
+					ID: "r", Service: "s", Body: make([]byte, work), Deadline: time.Now().Add(time.Second), Idempotent: tt.rule.Idempotent,
+				}})
+				time.Sleep(2 * time.Second)
+				if got := s.arrivals["r"]; got != tt.want {
+					t.Errorf("sent %d times, want %d", got, tt.want)
+				}
+			})
+		})
+	}
+}
--- a/forwarder/job.go
+++ b/forwarder/job.go
@@ -49,4 +49,7 @@
 	HealthPath string
 	// Arrived is the time at which the request was read.
 	Arrived time.Time
+	// HasLeft reports whether the caller has closed its connection, which a busy VM finds out earlier than by the context
+	// passed to Serve; it may be nil.
+	HasLeft func() bool
 }
--- a/ingress/handle.go
+++ b/ingress/handle.go
@@ -109,6 +109,7 @@
 			Path: r.RequestURI, Header: r.Header, Body: body, Deadline: deadline, Idempotent: rule.Idempotent,
 		},
 		Rule: rule, HealthPath: set.Services[service].HealthPath, Arrived: arrived,
+		HasLeft: func() bool { return keepalive.HasLeft(r.Context()) },
 	}, nil
 }
 
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -214,3 +214,46 @@
 	clear(p)
 	return len(p), nil
 }
+
+// leftForwarder records whether the callers of requests had left when it got them.
+type leftForwarder struct{ left chan bool }
+
+func (f leftForwarder) Serve(_ context.Context, j forwarder.Job) forwarder.Result {
+	f.left <- j.HasLeft()
+	return forwarder.Result{Outcome: outcome.NotRun{Reason: outcome.Cancelled}}
+}
+
+// TestCallerLeavesBeforeRead guards against requests that are forwarded although their caller has left before the VM, which
+// is busy, has accepted its connection.
+func TestCallerLeavesBeforeRead(t *testing.T) {
+	tests := map[string]struct {
+		request string
+		leaves  bool
+	}{
+		"without a body":                 {requestHead, true},
+		"with a body":                    {"POST /x HTTP/1.1\r\nHost: h\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody", true},
+		"with chunks":                    {"POST /x HTTP/1.1\r\nHost: h\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", true},
+		"whose caller waits":             {requestHead, false},
+		"with chunks whose caller waits": {"POST /x HTTP/1.1\r\nHost: h\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", false},
+	}
+	for name, tt := range tests {
+		Convey("Given a request "+name, t, func() {
+			l := listen(t)
+			caller, err := net.Dial("tcp", l.Addr().String())
+			So(err, ShouldBeNil)
+			defer func() { _ = caller.Close() }()
+			_, err = io.WriteString(caller, tt.request)
+			So(err, ShouldBeNil)
+			if tt.leaves {
+				So(caller.Close(), ShouldBeNil)
+			}
+			time.Sleep(10 * time.Millisecond)
+			set := newRules(time.Minute)
+			f := leftForwarder{make(chan bool, 1)}
+			s := ingress.New(l, newConfig(f, func() *ruleset.Set { return set }))
+			So(s.Start(context.Background()), ShouldBeNil)
+			defer func() { _ = s.Stop(context.Background()) }()
+			So(<-f.left, ShouldEqual, tt.leaves)
+		})
+	}
+}
--- a/keepalive/conn.go
+++ b/keepalive/conn.go
@@ -4,6 +4,7 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,6 +18,8 @@
 type conn struct {
 	net.Conn
 	listener *Listener
+	// raw is the socket of the connection, or nil if it has none.
+	raw syscall.RawConn
 
 	mu sync.Mutex
 	// idle is true until the first byte of a request has been read, and again from the end of its answer on.
--- a/keepalive/keepalive_test.go
+++ b/keepalive/keepalive_test.go
@@ -124,3 +124,55 @@
 		})
 	}
 }
+
+// TestHasLeft guards against a caller that has closed its connection and isn't noticed until a pending read ends, and against
+// one that is taken for gone because it is silent or has sent its next request.
+func TestHasLeft(t *testing.T) {
+	tests := map[string]struct {
+		act  func(c *net.TCPConn) error
+		want bool
+	}{
+		"open":               {func(*net.TCPConn) error { return nil }, false},
+		"closed":             {func(c *net.TCPConn) error { return c.Close() }, true},
+		"closed for sending": {func(c *net.TCPConn) error { return c.CloseWrite() }, true},
+		"reset":              {func(c *net.TCPConn) error { return errors.CombineErrors(c.SetLinger(0), c.Close()) }, true},
+		"next request":       {func(c *net.TCPConn) error { _, err := io.WriteString(c, "GET"); return err }, false},
+	}
+	for name, tt := range tests {
+		Convey("Given a caller with its connection "+name, t, func() {
+			l, caller, server, err := connect()
+			So(err, ShouldBeNil)
+			defer func() { _ = l.Close() }()
+			defer func() { _ = caller.Close() }()
+			defer func() { _ = server.Close() }()
+			ctx := l.ConnContext(context.Background(), server)
+			So(keepalive.HasLeft(ctx), ShouldBeFalse)
+			So(tt.act(caller.(*net.TCPConn)), ShouldBeNil)
+			time.Sleep(10 * time.Millisecond)
+			So(keepalive.HasLeft(ctx), ShouldEqual, tt.want)
+			So(keepalive.HasLeft(ctx), ShouldEqual, tt.want)
+		})
+	}
+	Convey("Given a read that is pending, a silent caller is not taken for gone, and the check doesn't wait", t, func() {
+		l, caller, server, err := connect()
+		So(err, ShouldBeNil)
+		defer func() { _ = l.Close() }()
+		defer func() { _ = caller.Close() }()
+		read := make(chan error, 1)
+		go func() {
+			_, err := server.Read(make([]byte, 1))
+			read <- err
+		}()
+		time.Sleep(10 * time.Millisecond)
+		So(keepalive.HasLeft(l.ConnContext(context.Background(), server)), ShouldBeFalse)
+		So(server.Close(), ShouldBeNil)
+		So(<-read, ShouldNotBeNil)
+		So(keepalive.HasLeft(l.ConnContext(context.Background(), server)), ShouldBeTrue)
+	})
+	Convey("Given a request that is cancelled, its caller has left", t, func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		So(keepalive.HasLeft(ctx), ShouldBeFalse)
+		cancel()
+		So(keepalive.HasLeft(ctx), ShouldBeTrue)
+	})
+}
--- a/keepalive/listener.go
+++ b/keepalive/listener.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -36,6 +37,10 @@
 		return nil, err
 	}
 	c := &conn{Conn: inner, listener: l, idle: true, idleSince: time.Now()}
+	if s, ok := inner.(syscall.Conn); ok {
+		// An error means that the connection is closed already.
+		c.raw, _ = s.SyscallConn()
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[c] = struct{}{}
