Let relays that the store turns away follow other relays

Cause: the watcher has no VM to follow, and the other relays only the watcher and its standby. While the store turns the watcher away and serves others, the watcher gets no changes and calls the store four to ten times a second; so do relays if the standby is turned away too. Their entries expire, but they don't hear of that.

Change: a place in the hierarchy has up to eight fallback relays. After a call of the store has failed, they are asked before the store is called again 2 s later. Ages add up as for other peers, so relays that follow each other in a cycle become stale.

TestDomainCutOff cuts the failure domain of the watcher off; it passes before and after.

--- a/membership/membership.go
+++ b/membership/membership.go
@@ -107,12 +107,19 @@
 	if p.LacksRelay && time.Since(m.start) < remoteDelay && !m.isElected() {
 		return s
 	}
-	for _, vm := range p.Sources {
+	s.Peers, s.Fallback = m.peers(p.Sources), m.peers(p.Fallback)
+	return s
+}
+
+// peers returns the VMs as peers.
+func (m *Membership) peers(vms []fleet.VM) []mirror.Peer {
+	var list []mirror.Peer
+	for _, vm := range vms {
 		if vm.PeerAddress != "" {
-			s.Peers = append(s.Peers, mirror.Peer{Name: vm.Name, Source: m.config.Follow(vm)})
+			list = append(list, mirror.Peer{Name: vm.Name, Source: m.config.Follow(vm)})
 		}
 	}
-	return s
+	return list
 }
 
 // Discover looks for relays in the store.
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -253,6 +253,9 @@
 type network struct {
 	mu    sync.Mutex
 	nodes map[string]*node
+	// turnedAway holds the names of the nodes that the store turns away, and cutOff is the failure domain that is cut off.
+	turnedAway map[string]bool
+	cutOff     string
 }
 
 func (n *network) get(name string) *node {
@@ -264,6 +267,150 @@
 	return nil
 }
 
+// turnAway makes the store turn the nodes away until the function returned is called. Their entries expire meanwhile.
+func (n *network) turnAway(s *store, nodes []*node) (restore func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.turnedAway = make(map[string]bool)
+	for _, x := range nodes {
+		n.turnedAway[x.vm.Name] = true
+	}
+	expiry := time.AfterFunc(leaseTime, func() {
+		for _, x := range nodes {
+			s.expire(x.vm)
+		}
+	})
+	return func() {
+		expiry.Stop()
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.turnedAway = nil
+	}
+}
+
+// cut cuts the failure domain off from the store and from the others until the function returned is called. The entries of
+// its nodes expire meanwhile.
+func (n *network) cut(s *store, failureDomain string) (restore func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cutOff = failureDomain
+	var inside []fleet.VM
+	for _, x := range n.nodes {
+		if x.vm.FailureDomain == failureDomain {
+			inside = append(inside, x.vm)
+		}
+	}
+	expiry := time.AfterFunc(leaseTime, func() {
+		for _, vm := range inside {
+			s.expire(vm)
+		}
+	})
+	return func() {
+		expiry.Stop()
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.cutOff = ""
+	}
+}
+
+// isCutOff reports whether the failure domain has no path to the other one, or to the store for "".
+func (n *network) isCutOff(from, to string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return from != to && n.cutOff != "" && (from == n.cutOff || to == n.cutOff)
+}
+
+// silence waits until ctx is done or the time has passed, as a call does whose packets are lost.
+func silence(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+	case <-time.After(2 * time.Second):
+	}
+	return errUnavailable
+}
+
+// access is the store as the node reaches it.
+type access struct {
+	*store
+	network *network
+	vm      fleet.VM
+}
+
+// try returns an error if the call fails, which has its price if the store turns the node away.
+func (a access) try(ctx context.Context, price float64) error {
+	if a.network.isCutOff(a.vm.FailureDomain, "") {
+		return silence(ctx)
+	}
+	a.network.mu.Lock()
+	turnedAway := a.network.turnedAway[a.vm.Name]
+	a.network.mu.Unlock()
+	if !turnedAway {
+		return nil
+	}
+	if err := a.call(ctx, price); err != nil {
+		return err
+	}
+	return errUnavailable
+}
+
+func (a access) Snapshot(ctx context.Context) (mirror.Batch, error) {
+	if err := a.try(ctx, 1); err != nil {
+		return mirror.Batch{}, err
+	}
+	return a.store.Snapshot(ctx)
+}
+
+func (a access) Watch(ctx context.Context, after uint64, wait time.Duration) (mirror.Batch, error) {
+	if err := a.try(ctx, 1); err != nil {
+		return mirror.Batch{}, err
+	}
+	b, err := a.store.Watch(ctx, after, wait)
+	if a.network.isCutOff(a.vm.FailureDomain, "") {
+		return mirror.Batch{}, silence(ctx)
+	}
+	return b, err
+}
+
+func (a access) Discover(ctx context.Context, isFresh bool) ([]mirror.Entry, error) {
+	price := 0.1
+	if isFresh {
+		price = 1
+	}
+	if err := a.try(ctx, price); err != nil {
+		return nil, err
+	}
+	return a.store.Discover(ctx, isFresh)
+}
+
+func (a access) WriteSize(ctx context.Context, vms int) error {
+	if err := a.try(ctx, 1); err != nil {
+		return err
+	}
+	return a.store.WriteSize(ctx, vms)
+}
+
+func (a access) Register(ctx context.Context, vm fleet.VM, ttl time.Duration) (registration.Lease, error) {
+	if err := a.try(ctx, 1); err != nil {
+		return 0, err
+	}
+	return a.store.Register(ctx, vm, ttl)
+}
+
+func (a access) Renew(ctx context.Context, l registration.Lease) error {
+	if err := a.try(ctx, 0.1); err != nil {
+		return err
+	}
+	if err := a.store.Renew(ctx, l); err != nil {
+		return err
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if _, exists := a.entries[ownPrefix+a.vm.Name]; !exists {
+		return registration.ErrEnded
+	}
+	return nil
+}
+
 // link is a node as a source for another one.
 type link struct {
 	network *network
@@ -283,10 +430,16 @@
 	if to == nil {
 		return mirror.Batch{}, errUnavailable
 	}
+	if l.network.isCutOff(l.from.vm.FailureDomain, to.vm.FailureDomain) {
+		return mirror.Batch{}, silence(ctx)
+	}
 	to.table.Record(l.from.table.Report(), time.Now())
 	waitCtx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	b, fresh := to.log.Since(waitCtx, after, to.table.Changed())
+	if l.network.isCutOff(l.from.vm.FailureDomain, to.vm.FailureDomain) {
+		return mirror.Batch{}, silence(ctx)
+	}
 	if l.network.get(l.to) == nil || b.Revision == 0 {
 		return mirror.Batch{}, errUnavailable
 	}
@@ -304,17 +457,18 @@
 	log := logrus.NewEntry(logger)
 	x := &node{vm: vm, log: relay.NewLog(), fleet: fleet.New(vm), roster: roster.New(), running: true}
 	x.table = presence.New(vm, x.fleet.SetPresent)
+	a := access{s, n, vm}
 	isReady := func() bool { return x.mirror.Rules() != nil && x.roster.Len() > 0 }
 	x.membership = membership.New(membership.Config{
-		Store: s, Decode: decode, Fleet: x.fleet, Table: x.table, IsReady: isReady, Log: log,
+		Store: a, Decode: decode, Fleet: x.fleet, Table: x.table, IsReady: isReady, Log: log,
 		Follow: func(vm fleet.VM) mirror.Source { return link{n, x, vm.Name} },
 	})
 	x.mirror = mirror.New(mirror.Config{
-		Store: s, Decode: decode, Sources: x.membership.Sources, Discover: x.membership.Discover,
+		Store: a, Decode: decode, Sources: x.membership.Sources, Discover: x.membership.Discover,
 		MayReadStore: x.membership.MayReadStore, Relay: x.log, Roster: x.roster, Fleet: x.fleet,
 		OnChange: func() { x.membership.Update(time.Now()) }, OnDeath: func(uint64, uint64) {}, Log: log,
 	})
-	x.registration = registration.New(s, vm, x.membership.ShouldRegister, x.fleet.IsListed, log)
+	x.registration = registration.New(a, vm, x.membership.ShouldRegister, x.fleet.IsListed, log)
 	ctx, cancel := context.WithCancel(t.Context())
 	x.cancel = cancel
 	for _, service := range []interface{ Start(context.Context) error }{x.membership, x.mirror, x.registration} {
@@ -550,3 +704,205 @@
 		time.Sleep(10 * time.Second)
 	})
 }
+
+// inForceWithin waits until all nodes have the version of the rules, and returns the time that it took.
+func inForceWithin(nodes []*node, version uint64, most time.Duration) (took time.Duration, without int) {
+	start := time.Now()
+	for {
+		without = 0
+		for _, x := range nodes {
+			if set := x.mirror.Rules(); set == nil || set.Version < version {
+				without++
+			}
+		}
+		if took = time.Since(start); without == 0 || took > most {
+			return took, without
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// watcherOf returns the node that watches the store, or nil.
+func watcherOf(nodes []*node) *node {
+	for _, x := range nodes {
+		if x.fleet.IsRelay() && len(x.membership.Sources().Peers) == 0 {
+			return x
+		}
+	}
+	return nil
+}
+
+// sizes are the fleets of the tests in which some VMs don't reach the store: VMs, how many of each failure domain have fast
+// links, and the time within which a version of the rules has to be in force.
+var sizes = map[string]struct {
+	vms, fast int
+	inForce   time.Duration
+}{
+	"14 VMs":                      {14, 3, 2 * time.Second},
+	"111 VMs":                     {111, 2, 2500 * time.Millisecond},
+	"472 VMs, 15 with fast links": {472, 3, 3 * time.Second},
+}
+
+// changeRules changes the rules several times, and checks that each version is in force at the nodes within the time.
+func changeRules(t *testing.T, s *store, nodes []*node, inForce time.Duration) {
+	for i := range 4 {
+		time.Sleep(2100 * time.Millisecond)
+		s.put("rules", nil)
+		if took, without := inForceWithin(nodes, s.latest(), 5*time.Second); took > inForce {
+			t.Errorf("change %d: %d of %d VMs without it after %s", i, without, len(nodes), took)
+		}
+	}
+}
+
+// checkLists checks that all nodes list all.
+func checkLists(t *testing.T, nodes []*node) {
+	for _, x := range nodes {
+		if got := len(x.fleet.List()); got != len(nodes) {
+			t.Errorf("%s lists %d of %d VMs", x.vm.Name, got, len(nodes))
+			return
+		}
+	}
+}
+
+// startFleet starts all VMs with a store that has the upstreams, and waits until they know each other and one watches the store.
+func startFleet(ctx context.Context, t *testing.T, vms []fleet.VM) (s *store, n *network, nodes []*node, watcher *node) {
+	s, n = newStore(), &network{nodes: make(map[string]*node)}
+	go s.runStale(ctx)
+	for i := range numUpstreams {
+		s.put(fmt.Sprintf("up-%04d", i), nil)
+	}
+	nodes = n.startAll(t, s, vms, 1)
+	time.Sleep(20 * time.Second)
+	if watcher = watcherOf(nodes); watcher == nil {
+		t.Fatal("no VM watches the store")
+	}
+	return s, n, nodes, watcher
+}
+
+// TestTurnedAway guards against VMs that get no changes, and fleets that call the store too often, while the store turns half
+// of the VMs away, the watcher among them: the watcher and relays have to follow others then.
+func TestTurnedAway(t *testing.T) {
+	const mostCalls = 500
+	for name, c := range sizes {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				s, n, nodes, watcher := startFleet(ctx, t, fleetOf(c.vms, c.fast))
+				before := s.numCalls()
+				var half []*node
+				for i, x := range nodes {
+					if x == watcher || i%2 == 1 {
+						half = append(half, x)
+					}
+				}
+				restore := n.turnAway(s, half)
+				changeRules(t, s, nodes, c.inForce)
+				restore()
+				time.Sleep(5 * time.Second)
+				if calls := s.numCalls() - before; calls > mostCalls {
+					t.Errorf("%.0f calls", calls)
+				}
+				checkLists(t, nodes)
+				n.kill(s, nodes...)
+				cancel()
+				time.Sleep(10 * time.Second)
+			})
+		})
+	}
+}
+
+// TestStartTurnedAway guards against VMs that don't get ready, and call the store all the time, because it turns them away as
+// they start, while the other half of the fleet reaches it.
+func TestStartTurnedAway(t *testing.T) {
+	const readyTime, outage, mostCalls = 3 * time.Second, 10 * time.Second, 500
+	for name, c := range sizes {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				s, n := newStore(), &network{nodes: make(map[string]*node)}
+				go s.runStale(ctx)
+				for i := range numUpstreams {
+					s.put(fmt.Sprintf("up-%04d", i), nil)
+				}
+				vms := fleetOf(c.vms, c.fast)
+				var half []*node
+				for i := 0; i < len(vms); i += 2 {
+					half = append(half, &node{vm: vms[i]})
+				}
+				restore := n.turnAway(s, half)
+				nodes := n.startAll(t, s, vms, 1)
+				if took, missing := readyWithin(nodes, outage); took > readyTime {
+					t.Errorf("%d VMs not ready after %s", missing, took)
+				}
+				if calls := s.numCalls(); calls > mostCalls {
+					t.Errorf("%.0f calls", calls)
+				}
+				restore()
+				if took, missing := readyWithin(nodes, outage); took > readyTime {
+					t.Errorf("restored: %d VMs not ready after %s", missing, took)
+				}
+				time.Sleep(10 * time.Second)
+				checkLists(t, nodes)
+				n.kill(s, nodes...)
+				cancel()
+				time.Sleep(10 * time.Second)
+			})
+		})
+	}
+}
+
+// cutOff cuts the failure domain of the watcher off while the rules change, and returns the price of the store's calls.
+func cutOff(t *testing.T, vms []fleet.VM, inForce time.Duration) (calls float64) {
+	const catchUpTime = 3 * time.Second
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	s, n, nodes, watcher := startFleet(ctx, t, vms)
+	before := s.numCalls()
+	var outside []*node
+	for _, x := range nodes {
+		if x.vm.FailureDomain != watcher.vm.FailureDomain {
+			outside = append(outside, x)
+		}
+	}
+	restore := n.cut(s, watcher.vm.FailureDomain)
+	changeRules(t, s, outside, inForce)
+	restore()
+	if took, without := inForceWithin(nodes, s.latest(), 5*time.Second); took > catchUpTime {
+		t.Errorf("restored: %d VMs without the rules after %s", without, took)
+	}
+	time.Sleep(10 * time.Second)
+	calls = s.numCalls() - before
+	checkLists(t, nodes)
+	n.kill(s, nodes...)
+	cancel()
+	time.Sleep(10 * time.Second)
+	return calls
+}
+
+// TestDomainCutOff guards against VMs that fall behind because the failure domain of the watcher is cut off, and against VMs
+// in it that need long to catch up after that.
+func TestDomainCutOff(t *testing.T) {
+	for name, c := range sizes {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				t.Logf("%.0f calls", cutOff(t, fleetOf(c.vms, c.fast), c.inForce))
+			})
+		})
+	}
+}
+
+// TestDomainCutOffCalls guards against VMs of a failure domain that all read the store when they reach it again.
+func TestDomainCutOffCalls(t *testing.T) {
+	const mostCalls = 500
+	for name, c := range sizes {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				if calls := cutOff(t, fleetOf(c.vms, c.fast), c.inForce); calls > mostCalls {
+					t.Errorf("%.0f calls", calls)
+				}
+			})
+		})
+	}
+}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -96,6 +96,8 @@
 	Tier topology.Tier
 	// Peers are the VMs, the preferred one first; there are none if this VM watches the store itself.
 	Peers []Peer
+	// Fallback are the VMs to follow while neither the peers nor the store can be reached.
+	Fallback []Peer
 }
 
 // Peer is a VM that may be followed.
@@ -115,6 +117,8 @@
 	lastContact atomic.Int64
 	start       time.Time
 	storeLost   bool
+	// storeFails is true after a call to the store has failed, until one succeeds.
+	storeFails bool
 	// outageEnd is the end of the last outage of the store that this VM has noticed or heard of.
 	outageEnd time.Time
 	// lastStoreCall is the time of the last call to the store.
@@ -329,6 +333,7 @@
 
 // recordFailure records a failed call to the store.
 func (m *Mirror) recordFailure(err error) {
+	m.storeFails = true
 	m.config.Relay.Lost()
 	if m.storeLost || m.Age() < outageAfter {
 		return
@@ -340,6 +345,7 @@
 // recordSuccess records a contact with the store. After an outage, entries whose leases expired meanwhile stay for a grace
 // period, in which they may be registered again. A peer tells by itself whether there was one.
 func (m *Mirror) recordSuccess(contact time.Time, byStore bool) {
+	m.storeFails = m.storeFails && !byStore
 	if m.storeLost {
 		m.config.Log.WithField("lost-ms", m.Age().Milliseconds()).Info("store answers again")
 		m.storeLost = false
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -97,11 +97,16 @@
 
 // newMirrorAt is like newMirror at the distance from the store.
 func newMirrorAt(tier topology.Tier, store *source, r mirror.Relay, peers ...mirror.Peer) *mirror.Mirror {
+	return newMirrorOf(mirror.Sources{Tier: tier, Peers: peers}, store, r)
+}
+
+// newMirrorOf is like newMirror with the sources.
+func newMirrorOf(sources mirror.Sources, store *source, r mirror.Relay) *mirror.Mirror {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	return mirror.New(mirror.Config{
-		Store: store, Decode: decode, Sources: func() mirror.Sources { return mirror.Sources{Tier: tier, Peers: peers} },
-		Discover: func(context.Context, bool) error { return nil }, MayReadStore: func() bool { return tier != topology.Indirect },
+		Store: store, Decode: decode, Sources: func() mirror.Sources { return sources },
+		Discover: func(context.Context, bool) error { return nil }, MayReadStore: func() bool { return sources.Tier != topology.Indirect },
 		Relay: r, Roster: roster.New(),
 		Fleet: fleet.New(fleet.VM{}), OnChange: func() {}, Log: logrus.NewEntry(log),
 	})
@@ -159,6 +164,59 @@
 	}
 }
 
+// TestFallback guards against a relay that gets no changes while the store turns it away although others reach the store, and
+// against one that calls the store all the time meanwhile or that does not return to it.
+func TestFallback(t *testing.T) {
+	for name, tier := range map[string]topology.Tier{"watcher": topology.Watcher, "standby": topology.Standby, "relay": topology.Relay} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store, watcher := &source{version: 5}, &source{version: 5}
+				fallback := []*source{{down: true}, {stale: true, age: 5 * time.Second}, {version: 5}}
+				sources := mirror.Sources{Tier: tier}
+				if tier != topology.Watcher {
+					sources.Peers = []mirror.Peer{{Name: "watcher", Source: watcher}}
+				}
+				for i, s := range fallback {
+					sources.Fallback = append(sources.Fallback, mirror.Peer{Name: string(rune('a' + i)), Source: s})
+				}
+				m := newMirrorOf(sources, store, relay{})
+				_ = m.Start(t.Context())
+				time.Sleep(5 * time.Second)
+				if n := fallback[2].count(); n > 0 {
+					t.Errorf("%d calls of another relay while the store answers", n)
+				}
+				for _, s := range []*source{store, watcher} {
+					s.set(func(s *source) { s.down = true })
+				}
+				calls := store.count()
+				for version := uint64(6); version < 10; version++ {
+					fallback[2].set(func(s *source) { s.version = version })
+					time.Sleep(inForceWithin)
+					if set := m.Rules(); set == nil || set.Version != version {
+						t.Errorf("rules %+v, want version %d", set, version)
+					}
+				}
+				if n := store.count() - calls; n > 10 {
+					t.Errorf("%d calls of the store in 8 s", n)
+				}
+				for _, s := range []*source{store, watcher} {
+					s.set(func(s *source) { s.version, s.down = 10, false })
+				}
+				time.Sleep(5 * time.Second)
+				if set := m.Rules(); set.Version != 10 {
+					t.Errorf("rules %+v after the store answers again", set)
+				}
+				calls = fallback[2].count()
+				time.Sleep(5 * time.Second)
+				if n := fallback[2].count() - calls; n > 0 {
+					t.Errorf("%d calls of another relay after the store answers again", n)
+				}
+				_ = m.Stop(t.Context())
+			})
+		})
+	}
+}
+
 // recorder keeps the longest time between two contacts with the store, and the number of losses.
 type recorder struct {
 	last    time.Time
--- a/mirror/step.go
+++ b/mirror/step.go
@@ -30,6 +30,8 @@
 	standbyStorePause = 500 * time.Millisecond
 	// relayStorePause is the same for the other relays.
 	relayStorePause = 5 * time.Second
+	// fallbackStorePause is the time between calls of a failing store by a VM that follows others meanwhile.
+	fallbackStorePause = 2 * time.Second
 	// followerStoreAge is the least age of its entries at which a VM that isn't a relay calls the store, and also the time
 	// between such calls. There may be thousands of such VMs, and in an outage they would all call it in vain.
 	followerStoreAge = 4 * time.Second
@@ -57,6 +59,9 @@
 	sources, now := m.config.Sources(), time.Now()
 	peers, isFollower := sources.Peers, sources.Tier >= topology.Direct
 	if storeOnly || len(peers) == 0 {
+		if s, ok := m.fallbackStep(sources.Fallback, now); ok && !storeOnly {
+			return s
+		}
 		return m.storeStep(watchBroken)
 	}
 	s, storePause := step{wait: peerWait, maxAge: maxAge}, relayStorePause
@@ -77,6 +82,11 @@
 			}
 		}
 	}
+	if s.peer == nil {
+		if s, ok := m.fallbackStep(sources.Fallback, now); ok {
+			return s
+		}
+	}
 	storeAge := m.followerStoreAge
 	if now.Sub(m.peerAnsweredAt) > answerMemory {
 		storeAge = unreachableStoreAge
@@ -96,6 +106,26 @@
 	return s
 }
 
+// fallbackStep returns the step that follows a VM in place of a store that fails, between the calls that find out whether the
+// store still does: it may turn only some VMs away.
+func (m *Mirror) fallbackStep(peers []Peer, now time.Time) (s step, ok bool) {
+	if !m.storeFails || now.Sub(m.lastStoreCall) >= fallbackStorePause {
+		return step{}, false
+	}
+	for i, p := range peers {
+		if until, avoided := m.avoidUntil[p.Name]; avoided && !now.After(until) {
+			continue
+		}
+		delete(m.avoidUntil, p.Name)
+		s := step{peer: &peers[i], maxAge: maxAge}
+		if m.Age() < refreshAge {
+			s.wait = max(peerWait-m.Age(), minWait)
+		}
+		return s, true
+	}
+	return step{}, false
+}
+
 // storeStep returns the step that watches the store, or that reads all entries if the last watch failed.
 func (m *Mirror) storeStep(watchBroken bool) step {
 	m.lastStoreCall = time.Now()
--- a/topology/place.go
+++ b/topology/place.go
@@ -24,6 +24,9 @@
 	smallFleet = 30
 	// alternatives is the number of relays that a VM may follow besides the watcher and its standby.
 	alternatives = 2
+	// maxFallback is the number of relays that a relay may follow while it doesn't reach the store. With half of the VMs in that
+	// state, one of them reaches it 99 times in 100.
+	maxFallback = 8
 )
 
 // Tier is the distance of a VM from the store.
@@ -48,6 +51,8 @@
 	Tier Tier
 	// Sources are the VMs to follow, the preferred one first; a watcher has none.
 	Sources []fleet.VM
+	// Fallback are the VMs to follow if neither the sources nor the store can be reached.
+	Fallback []fleet.VM
 	// LacksRelay reports whether the failure domain has no relay, so that the sources are in other ones.
 	LacksRelay bool
 }
@@ -60,11 +65,11 @@
 	rank := slices.IndexFunc(order, func(vm fleet.VM) bool { return vm.Name == self.Name })
 	switch {
 	case rank == 0 || len(order) == 0:
-		return Place{Tier: Watcher}
+		return Place{Tier: Watcher, Fallback: fallback(order, rank)}
 	case rank == 1:
-		return Place{Tier: Standby, Sources: order[:1]}
+		return Place{Tier: Standby, Sources: order[:1], Fallback: fallback(order, rank)}
 	case rank > 1:
-		return Place{Tier: Relay, Sources: order[:2]}
+		return Place{Tier: Relay, Sources: order[:2], Fallback: fallback(order, rank)}
 	case vms > 0 && vms <= maxDirectFollowers:
 		// If the first two fail, the next relays call the store, and the others follow these.
 		return Place{Tier: Direct, Sources: order[:min(len(order), 2+alternatives)]}
@@ -94,6 +99,19 @@
 	return Place{Tier: Indirect, Sources: sources, LacksRelay: lacksRelay}
 }
 
+// fallback returns the relays that follow the rank in the order, and then those before it, without the watcher and its
+// standby for other relays, which follow these anyway.
+func fallback(order []fleet.VM, rank int) []fleet.VM {
+	var list []fleet.VM
+	if rank >= 0 && rank+1 < len(order) {
+		list = append(list, order[rank+1:]...)
+	}
+	if rank > 2 {
+		list = append(list, order[2:rank]...)
+	}
+	return list[:min(len(list), maxFallback)]
+}
+
 // IsSmall reports whether a fleet of the size has only relays; the size is 0 if it isn't known.
 func IsSmall(vms int) bool {
 	return vms > 0 && vms <= smallFleet
--- a/topology/topology_test.go
+++ b/topology/topology_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -39,7 +40,7 @@
 // TestPlaces guards against a fleet in which no VM or more than one watches the store, VMs follow each other in a cycle, or
 // one VM has so many followers that its link is saturated.
 func TestPlaces(t *testing.T) {
-	const vmsPerRelay = 40
+	const vmsPerRelay, maxFallback = 40, 8
 	tests := map[string]struct{ vms, fast, maxRelays, maxFollowers int }{
 		"one VM":               {1, 1, 1, 0},
 		"two VMs":              {2, 1, 2, 1},
@@ -59,6 +60,16 @@
 			for _, vm := range vms {
 				p := topology.New(vm, relays, len(vms))
 				tiers[vm.Name] = p.Tier
+				for i, other := range p.Fallback {
+					isListed := func(list []fleet.VM) bool {
+						return slices.ContainsFunc(list, func(l fleet.VM) bool { return l.Name == other.Name })
+					}
+					So(other.Name, ShouldNotEqual, vm.Name)
+					So(isListed(p.Sources) || isListed(p.Fallback[:i]), ShouldBeFalse)
+				}
+				if p.Tier <= topology.Relay {
+					So(len(p.Fallback), ShouldEqual, max(min(len(relays)-1-len(p.Sources), maxFallback), 0))
+				}
 				if p.Tier == topology.Watcher {
 					watchers++
 					So(p.Sources, ShouldBeEmpty)
