--- a/keepalive/conn.go
+++ b/keepalive/conn.go
@@ -4,6 +4,7 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,6 +22,8 @@
 type conn struct {
 	net.Conn
 	listener *Listener
+	// raw is the socket of the connection, or nil if it has none.
+	raw syscall.RawConn
 
 	mu sync.Mutex
 	// idle is true until the first byte of a request has been read, and again from the end of its answer on.
