End the read of a begun answer half a second after its caller has left, also within the headers

The caller's context bounded the body of the answer only. The headers of the answer to a request that may run once, or the body of an answer to another request, were read until the deadline although the caller had left.

An unfinished message ends 250 ms after its caller has left, in all messages together. Silence is no reason to break off: the upstream may be at work on a request that runs only once, and most drop a request when its connection closes. An end within the headers counts as lost, so as a failure of the upstream, because a sound one sends its headers at once; one within the body counts as cancelled, as before.

Before, TestCallerLeaves failed: 'read on for 29.700106042s' in no HTTP, status line, header lines, one header line and body of another answer; 2.5 s in informational answers, 3.9 s in other answers. TestSilenceAfterCallerLeft passes before and after. After: go test -race -count=3 of both and go test ./exchange ./forwarder pass.

--- a/exchange/attempt.go
+++ b/exchange/attempt.go
@@ -22,8 +22,8 @@
 	// maxSyncBody is the largest body in bytes that is written before the answer is read. It is below the sizes of socket
 	// buffers, so that an upstream that answers without reading the body doesn't block the write.
 	maxSyncBody = 16 << 10
-	// callerGrace is the time for which an answer is still read after its caller has left, so that a short one doesn't cost
-	// the connection.
+	// callerGrace is the time for which an answer that has begun is still read after its caller has left, so that a short one
+	// doesn't cost the connection. The upstream's silence doesn't count: it may be at work on a request that runs only once.
 	callerGrace = 250 * time.Millisecond
 	// maxInterim is the maximum number of responses read until the final one; those before it are informational.
 	maxInterim = 5
@@ -44,12 +44,16 @@
 
 	conn   *conn
 	reused bool
+	// grace is what is left of callerGrace.
+	grace time.Duration
+	// endMessage ends the bound on the message being read.
+	endMessage func()
 }
 
 // run sends the request and returns the result; stale reports whether a reused connection was broken and no byte of the
 // request was written.
 func (a *attempt) run(ctx context.Context) (res Result, stale bool) {
-	a.conn, a.reused = nil, false
+	a.conn, a.reused, a.grace = nil, false, callerGrace
 	req, err := a.httpRequest()
 	if err != nil {
 		return unsent(outcome.BadRequest, err.Error()), false
@@ -63,17 +67,12 @@
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := context.AfterFunc(attemptCtx, c.interrupt)
-	resp, written, err := a.roundTrip(attemptCtx, req)
+	resp, written, err := a.roundTrip(attemptCtx, cancel, req)
 	if err != nil {
 		stop()
 		return a.resultWithoutAnswer(ctx, err)
 	}
-	if a.caller != ctx {
-		defer context.AfterFunc(a.caller, func() {
-			backoff.Sleep(attemptCtx, callerGrace)
-			cancel()
-		})()
-	}
+	defer a.endMessage()
 	res = a.readAnswer(attemptCtx, resp)
 	if stop() && written() && !resp.Close && c.reader.Buffered() == 0 && !c.isAborted() {
 		a.pool.put(c, keepAliveTimeout(resp.Header))
@@ -84,18 +83,18 @@
 }
 
 // roundTrip writes the request and reads the headers of its answer; written reports whether the whole request was written.
-func (a *attempt) roundTrip(ctx context.Context, req *http.Request) (resp *http.Response, written func() bool, err error) {
+func (a *attempt) roundTrip(ctx context.Context, cancel context.CancelFunc, req *http.Request) (resp *http.Response, written func() bool, err error) {
 	if len(a.request.Body) <= maxSyncBody {
 		if err := a.conn.writeRequest(req); err != nil {
 			return nil, nil, err
 		}
-		resp, err = a.receive(ctx, req)
+		resp, err = a.receive(ctx, cancel, req)
 		return resp, func() bool { return true }, err
 	}
 	sent := make(chan error, 1)
 	c := a.conn
 	go func() { sent <- c.writeRequest(req) }()
-	resp, err = a.receive(ctx, req)
+	resp, err = a.receive(ctx, cancel, req)
 	return resp, func() bool {
 		select {
 		case err := <-sent:
@@ -107,21 +106,58 @@
 }
 
 // receive reads the headers of the answer. It reads and drops answers to other requests that precede it, up to the
-// dialect's limit.
-func (a *attempt) receive(ctx context.Context, req *http.Request) (*http.Response, error) {
-	for skipped := 0; ; skipped++ {
+// dialect's limit, and informational ones. The bound on the time to read the answer stays in force.
+func (a *attempt) receive(ctx context.Context, cancel context.CancelFunc, req *http.Request) (*http.Response, error) {
+	for skipped, interim := 0, 0; ; {
+		if err := a.conn.awaitResponse(); err != nil {
+			return nil, err
+		}
+		a.beginMessage(ctx, cancel)
 		resp, err := a.conn.readResponse(req)
-		if err != nil || skipped == a.dialect.MaxMismatched || !a.namesOther(resp) {
-			return resp, err
+		switch {
+		case err != nil:
+		case isInformational(resp):
+			if interim++; interim == maxInterim {
+				err = errInterim
+			}
+		case skipped == a.dialect.MaxMismatched || !a.namesOther(resp):
+			return resp, nil
+		default:
+			skipped, interim = skipped+1, 0
+			// After an error, the body stays open, because its Close would read the rest of it.
+			if _, err = a.readBody(ctx, resp); err == nil {
+				_ = resp.Body.Close()
+			}
 		}
-		if _, err = a.readBody(ctx, resp); err != nil {
-			// The body stays open, because its Close would read the rest of it.
+		a.endMessage()
+		if err != nil {
 			return nil, err
 		}
-		_ = resp.Body.Close()
 	}
 }
 
+// beginMessage bounds the time to read a message whose first byte has arrived, until endMessage is called: if the caller has
+// left, it is cancelled after the grace.
+func (a *attempt) beginMessage(ctx context.Context, cancel context.CancelFunc) {
+	begun, grace := time.Now(), a.grace
+	ctx, end := context.WithCancel(ctx)
+	stop := context.AfterFunc(a.caller, func() {
+		if backoff.Sleep(ctx, grace) {
+			cancel()
+		}
+	})
+	a.endMessage = func() {
+		if stop(); a.caller.Err() != nil {
+			a.grace -= time.Since(begun)
+		}
+		end()
+	}
+}
+
+func isInformational(resp *http.Response) bool {
+	return resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols
+}
+
 // httpRequest converts the request to one of net/http and leaves the path unchanged. It returns an error if a part of the
 // request can't be sent.
 func (a *attempt) httpRequest() (*http.Request, error) {
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -134,18 +134,18 @@
 	return c.writer.Flush()
 }
 
-// readResponse reads the headers of the final response to the request.
+// awaitResponse waits for the first byte of a response.
+func (c *conn) awaitResponse() error {
+	c.limited.N = maxHeaderBytes
+	_, err := c.reader.Peek(1)
+	return err
+}
+
+// readResponse reads the headers of a response, which may be informational.
 func (c *conn) readResponse(req *http.Request) (*http.Response, error) {
-	for range maxInterim {
-		c.limited.N = maxHeaderBytes
-		resp, err := http.ReadResponse(c.reader, req)
-		if err != nil {
-			return nil, err
-		}
-		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
-			c.limited.N = math.MaxInt64
-			return resp, nil
-		}
+	resp, err := http.ReadResponse(c.reader, req)
+	if err == nil {
+		c.limited.N = math.MaxInt64
 	}
-	return nil, errInterim
+	return resp, err
 }
--- a/exchange/endless_test.go
+++ b/exchange/endless_test.go
@@ -49,22 +49,34 @@
 	"other answers":            {"", "HTTP/1.1 200 OK\r\nFulmarhitch-Request-Id: r0\r\nContent-Length: 1\r\n\r\nx"},
 }
 
+// isOwnBody reports whether the head is a proper one of the answer to the request r1, so that only the body has no end.
+func (a endlessAnswer) isOwnBody() bool {
+	return strings.HasPrefix(a.start, head) && strings.Contains(a.start, "\r\n\r\n")
+}
+
 // flood serves connections, on each of which it reads one request and then sends an answer without an end. With an interval
-// it sends one byte at a time.
+// it sends one byte at a time; with startAtOnce, this holds for the rest of the answer only.
 type flood struct {
 	net.Listener
 	answer   endlessAnswer
 	interval time.Duration
+
+	startAtOnce bool
 	// open is the number of connections that are open.
 	open atomic.Int64
 }
 
 func startFlood(t testing.TB, a endlessAnswer, interval time.Duration) *flood {
+	return (&flood{answer: a, interval: interval}).listen(t)
+}
+
+// listen starts the flood and returns it.
+func (f *flood) listen(t testing.TB) *flood {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := &flood{Listener: l, answer: a, interval: interval}
+	f.Listener = l
 	t.Cleanup(func() { _ = l.Close() })
 	go func() {
 		for {
@@ -97,7 +109,12 @@
 		}
 		return
 	}
-	for _, b := range []byte(f.answer.start + string(rest)) {
+	if drip := []byte(f.answer.start); f.startAtOnce {
+		_, _ = c.Write(drip)
+	} else {
+		rest = append(drip, rest...)
+	}
+	for _, b := range rest {
 		if _, err := c.Write([]byte{b}); err != nil {
 			return
 		}
@@ -196,29 +213,92 @@
 	}
 }
 
-// TestCallerLeaves guards against the body of an answer that is read on for seconds after its caller has left.
+// TestCallerLeaves guards against an answer that has begun, and that is read on for seconds after its caller has left.
 func TestCallerLeaves(t *testing.T) {
-	f := startFlood(t, endlessAnswer{head + "\r\n", "x"}, 5*time.Millisecond)
-	e := exchange.NewWithDialect(fourConnections, lenient, buffer.New(1<<20, func(string, int64) {}))
-	defer e.Close()
-	caller, leave := context.WithCancel(t.Context())
-	result := make(chan exchange.Result, 1)
-	go func() {
-		result <- e.DoFor(t.Context(), caller, newVerbatimRequest("r1", ""), upstream(f.Addr().String()), 1<<20)
-	}()
-	select {
-	case res := <-result:
-		t.Fatalf("class %s before the caller left", res.Class)
-	case <-time.After(time.Second):
+	// maxAnswer is above the large length that an answer states.
+	const maxAnswer, maxTime = 1 << 50, 500 * time.Millisecond
+	for name, answer := range endlessAnswers {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := (&flood{answer: answer, interval: 20 * time.Millisecond, startAtOnce: true}).listen(t)
+			e := exchange.NewWithDialect(fourConnections, lenient, buffer.New(1<<20, func(string, int64) {}))
+			defer e.Close()
+			caller, leave := context.WithCancel(t.Context())
+			result := make(chan exchange.Result, 1)
+			go func() {
+				result <- e.DoFor(t.Context(), caller, newVerbatimRequest("r1", ""), upstream(f.Addr().String()), maxAnswer)
+			}()
+			select {
+			case res := <-result:
+				t.Fatalf("class %s before the caller left", res.Class)
+			case <-time.After(300 * time.Millisecond):
+			}
+			leave()
+			start := time.Now()
+			res := <-result
+			if took := time.Since(start); took > maxTime {
+				t.Errorf("read on for %s", took)
+			}
+			// A sound upstream sends its headers at once, but may have a long body.
+			want := exchange.Lost
+			if answer.isOwnBody() {
+				want = exchange.Cancelled
+			}
+			if _, ok := res.Outcome.(outcome.Unknown); !ok || res.Class != want {
+				t.Errorf("class %s, want %s, outcome %+v", res.Class, want, res.Outcome)
+			}
+			if !f.isClosed(closeTimeout) {
+				t.Error("the connection stays open")
+			}
+		})
 	}
-	leave()
-	start := time.Now()
-	if res := <-result; res.Class != exchange.Cancelled {
-		t.Errorf("class %s, outcome %+v", res.Class, res.Outcome)
+}
+
+// TestSilenceAfterCallerLeft guards against a request that is broken off because its upstream is still at work on it after
+// its caller has left.
+func TestSilenceAfterCallerLeft(t *testing.T) {
+	for name, before := range map[string]string{
+		"no answer yet":                "",
+		"after informational answers":  "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n",
+		"after the answer of another":  response("r0", "late"),
+		"informational one in between": response("r0", "late") + "HTTP/1.1 102 Processing\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := startPaced(t, before, time.Second, response("r1", "done"))
+			e := exchange.NewWithDialect(fourConnections, lenient, buffer.New(1<<20, func(string, int64) {}))
+			defer e.Close()
+			caller, leave := context.WithCancel(t.Context())
+			time.AfterFunc(100*time.Millisecond, leave)
+			res := e.DoFor(t.Context(), caller, newVerbatimRequest("r1", ""), upstream(c), 1<<20)
+			if a, ok := res.Outcome.(outcome.Answered); !ok || string(a.Body) != "done" {
+				t.Errorf("class %s, outcome %+v", res.Class, res.Outcome)
+			}
+		})
 	}
-	if took := time.Since(start); took > 500*time.Millisecond {
-		t.Errorf("read on for %s", took)
+}
+
+// startPaced starts an upstream that answers with the text before, a pause and the text after, and returns its address.
+func startPaced(t *testing.T, before string, pause time.Duration, after string) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
 	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, before)
+		time.Sleep(pause)
+		_, _ = io.WriteString(c, after)
+	}()
+	return l.Addr().String()
 }
 
 // TestIdleFlood guards against bytes that arrive on an idle connection and stay there, or are taken for the next answer.
--- a/exchange/exchanger.go
+++ b/exchange/exchanger.go
@@ -54,8 +54,8 @@
 	return e.do(ctx, ctx, r, up, maxAnswer, true)
 }
 
-// DoFor is like Do for a caller whose context is done once it has left. The request is still sent then, but the body of its
-// answer is no longer read after a short time.
+// DoFor is like Do for a caller whose context is done once it has left. The request is still sent then and its answer awaited,
+// but an answer that has begun is no longer read after a short time.
 func (e *Exchanger) DoFor(ctx, caller context.Context, r *request.Request, up declaration.Upstream, maxAnswer int) Result {
 	return e.do(ctx, caller, r, up, maxAnswer, true)
 }
