Test answers without end during the request, on polls and health checks, on idle connections, and the next request

Kinds of the list that no test showed: an upstream that answers without reading the request (short and long, flood and drip), each kind also byte by byte on polls and health checks, bytes that arrive later on an idle connection (flood, drip, whole answers), the request after an answer without end, and goroutines that stay. All pass on the code as it is: go test -run 'Endless|Idle|Drip|CallerLeaves|Silence' ./exchange, 33.6 s, of which 9.9 s TestManyEndlessAnswers.

--- a/exchange/endless_test.go
+++ b/exchange/endless_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -62,6 +61,11 @@
 	interval time.Duration
 
 	startAtOnce bool
+	// early leaves the body of the request unread.
+	early bool
+	// requests counts the requests; with soundAfterFirst, those after the first get a whole answer.
+	requests        atomic.Int64
+	soundAfterFirst bool
 	// open is the number of connections that are open.
 	open atomic.Int64
 }
@@ -100,7 +104,18 @@
 	if err != nil {
 		return
 	}
-	_, _ = io.Copy(io.Discard, r.Body)
+	if !f.early {
+		_, _ = io.Copy(io.Discard, r.Body)
+	}
+	if f.requests.Add(1) > 1 && f.soundAfterFirst {
+		_, _ = io.WriteString(c, response(r.Header.Get("Fulmarhitch-Request-Id"), "sound"))
+		return
+	}
+	if f.answer.rest == "" {
+		_, _ = io.WriteString(c, f.answer.start)
+		_, _ = c.Read(make([]byte, 1))
+		return
+	}
 	rest := []byte(strings.Repeat(f.answer.rest, 1+(32<<10)/len(f.answer.rest)))
 	if f.interval == 0 {
 		_, err = io.WriteString(c, f.answer.start)
@@ -132,6 +147,12 @@
 	return true
 }
 
+// checkGoroutines reports goroutines that remain after the test and its parallel parts.
+func checkGoroutines(t *testing.T) {
+	current := goleak.IgnoreCurrent()
+	t.Cleanup(func() { goleak.VerifyNone(t, current) })
+}
+
 // closeTimeout is longer than a closed connection needs to reach the other side on a busy machine.
 const closeTimeout = 10 * time.Second
 
@@ -142,7 +163,7 @@
 	const maxAnswer, maxMemory, maxTime = 1 << 20, 4 << 20, testTimeout / 3
 	for name, answer := range endlessAnswers {
 		t.Run(name, func(t *testing.T) {
-			f := startFlood(t, answer, 0)
+			f := (&flood{answer: answer, soundAfterFirst: true}).listen(t)
 			defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
 			b := buffer.New(maxMemory, func(string, int64) {})
 			e := exchange.NewWithDialect(fourConnections, lenient, b)
@@ -161,30 +182,90 @@
 			if b.Used() != 0 {
 				t.Errorf("%d bytes stay held", b.Used())
 			}
+			res = e.Do(t.Context(), newVerbatimRequest("r2", ""), upstream(f.Addr().String()), maxAnswer)
+			if a, ok := res.Outcome.(outcome.Answered); !ok || string(a.Body) != "sound" {
+				t.Errorf("next request: class %s, outcome %+v", res.Class, res.Outcome)
+			}
 		})
 	}
 }
 
-// TestEndlessPolls guards against a poll whose answer has no end and that takes memory, or its connection, for long.
-func TestEndlessPolls(t *testing.T) {
-	for name, answer := range endlessAnswers {
-		t.Run(name, func(t *testing.T) {
-			f := startFlood(t, answer, 0)
-			defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
-			e := exchange.NewWithDialect(fourConnections, lenient, buffer.New(1<<20, func(string, int64) {}))
-			defer e.Close()
-			start := time.Now()
-			res := e.Poll(t.Context(), newVerbatimRequest("", ""), upstream(f.Addr().String()))
-			if took := time.Since(start); took > testTimeout/3 {
-				t.Errorf("read for %s", took)
-			}
-			if _, ok := res.Outcome.(outcome.Unknown); !ok {
-				t.Errorf("class %s, outcome %+v", res.Class, res.Outcome)
+// TestEarlyEndlessAnswers guards against the same faults if the answer comes while the request is being written, and the
+// upstream never reads the rest of it.
+func TestEarlyEndlessAnswers(t *testing.T) {
+	checkGoroutines(t)
+	const maxAnswer, deadline = 1 << 20, time.Second
+	for size, length := range map[string]int{"short request": 10, "long request": 32 << 20} {
+		for speed, interval := range map[string]time.Duration{"flood": 0, "drip": 10 * time.Millisecond} {
+			for name, answer := range endlessAnswers {
+				t.Run(size+", "+speed+", "+name, func(t *testing.T) {
+					t.Parallel()
+					f := (&flood{answer: answer, early: true, interval: interval}).listen(t)
+					b := buffer.New(4<<20, func(string, int64) {})
+					e := exchange.NewWithDialect(fourConnections, lenient, b)
+					defer e.Close()
+					r := newVerbatimRequest("r1", strings.Repeat("b", length))
+					r.Deadline = time.Now().Add(deadline)
+					res := e.Do(t.Context(), r, upstream(f.Addr().String()), maxAnswer)
+					if late := time.Since(r.Deadline); late > closeTimeout {
+						t.Errorf("ended %s after the deadline", late)
+					}
+					if _, ok := res.Outcome.(outcome.Unknown); !ok {
+						t.Errorf("class %s, outcome %+v", res.Class, res.Outcome)
+					}
+					if !f.isClosed(closeTimeout) {
+						t.Error("the connection stays open")
+					}
+					if b.Used() != 0 {
+						t.Errorf("%d bytes stay held", b.Used())
+					}
+				})
 			}
-			if !f.isClosed(closeTimeout) {
-				t.Error("the connection stays open")
+		}
+	}
+}
+
+// TestEndlessPolls guards against a poll or a health check whose answer has no end, or arrives byte by byte, and that takes
+// memory, or its connection, for long.
+func TestEndlessPolls(t *testing.T) {
+	checkGoroutines(t)
+	const deadline = time.Second
+	polls := map[string]func(*testing.T, *exchange.Exchanger, string) bool{
+		"poll": func(t *testing.T, e *exchange.Exchanger, address string) bool {
+			r := newVerbatimRequest("", "")
+			r.Deadline = time.Now().Add(deadline)
+			_, ok := e.Poll(t.Context(), r, upstream(address)).Outcome.(outcome.Unknown)
+			return ok
+		},
+		"health check": func(t *testing.T, e *exchange.Exchanger, address string) bool {
+			_, err := e.Health(t.Context(), "s", upstream(address))
+			return err != nil
+		},
+	}
+	for kind, poll := range polls {
+		for speed, interval := range map[string]time.Duration{"flood": 0, "drip": 10 * time.Millisecond} {
+			for name, answer := range endlessAnswers {
+				t.Run(kind+", "+speed+", "+name, func(t *testing.T) {
+					t.Parallel()
+					f := startFlood(t, answer, interval)
+					e := exchange.NewWithDialect(fourConnections, lenient, buffer.New(1<<20, func(string, int64) {}))
+					if kind == "health check" {
+						e = exchange.New(fourConnections)
+					}
+					defer e.Close()
+					start := time.Now()
+					if !poll(t, e, f.Addr().String()) {
+						t.Error("reported as success or as not run")
+					}
+					if took := time.Since(start); took > deadline+closeTimeout {
+						t.Errorf("read for %s", took)
+					}
+					if !f.isClosed(closeTimeout) {
+						t.Error("the connection stays open")
+					}
+				})
 			}
-		})
+		}
 	}
 }
 
@@ -215,6 +296,7 @@
 
 // TestCallerLeaves guards against an answer that has begun, and that is read on for seconds after its caller has left.
 func TestCallerLeaves(t *testing.T) {
+	checkGoroutines(t)
 	// maxAnswer is above the large length that an answer states.
 	const maxAnswer, maxTime = 1 << 50, 500 * time.Millisecond
 	for name, answer := range endlessAnswers {
@@ -257,6 +339,7 @@
 // TestSilenceAfterCallerLeft guards against a request that is broken off because its upstream is still at work on it after
 // its caller has left.
 func TestSilenceAfterCallerLeft(t *testing.T) {
+	checkGoroutines(t)
 	for name, before := range map[string]string{
 		"no answer yet":                "",
 		"after informational answers":  "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n",
@@ -303,27 +386,48 @@
 
 // TestIdleFlood guards against bytes that arrive on an idle connection and stay there, or are taken for the next answer.
 func TestIdleFlood(t *testing.T) {
-	s := startScripted(t, func(n int64, r *http.Request) (string, bool) {
-		id := r.Header.Get("Fulmarhitch-Request-Id")
-		if n == 1 {
-			return response(id, "first") + strings.Repeat("x", 1<<10), true
-		}
-		return response(id, "second"), true
-	})
-	e := exchange.NewWithDialect(fourConnections, lenient, buffer.New(1<<20, func(string, int64) {}))
-	defer e.Close()
-	up := upstream(s.Addr().String())
-	for i, want := range []string{"first", "second"} {
-		res := e.Do(t.Context(), newVerbatimRequest(fmt.Sprint("r", i), ""), up, 1<<20)
-		a, ok := res.Outcome.(outcome.Answered)
-		if !ok || string(a.Body) != want {
-			t.Errorf("outcome %+v, want %q", res.Outcome, want)
-		}
-		time.Sleep(50 * time.Millisecond)
-		e.CloseBroken()
+	fake := response("r1", "fake")
+	tests := map[string]struct {
+		// extra is sent with the end of the first answer, and rest after it until the connection closes.
+		extra, rest string
+		interval    time.Duration
+	}{
+		"beyond the stated length":       {strings.Repeat("x", 1<<10), "", 0},
+		"answer beyond the length":       {fake, "", 0},
+		"beyond the length, without end": {"x", "x", 0},
+		"later, without end":             {"", "x", 0},
+		"later, byte by byte":            {"", "x", 20 * time.Millisecond},
+		"answers, without end":           {"", fake, 0},
 	}
-	if n := s.connections.Load(); n != 2 {
-		t.Errorf("%d connections, want 2", n)
+	for name, test := range tests {
+		for sweep, isSwept := range map[string]bool{"swept": true, "used at once": false} {
+			t.Run(name+", "+sweep, func(t *testing.T) {
+				first := response("r0", "first") + test.extra
+				f := (&flood{answer: endlessAnswer{first, test.rest}, interval: test.interval, startAtOnce: true, soundAfterFirst: true}).listen(t)
+				defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+				e := exchange.NewWithDialect(fourConnections, lenient, buffer.New(1<<20, func(string, int64) {}))
+				defer e.Close()
+				up := upstream(f.Addr().String())
+				res := e.Do(t.Context(), newVerbatimRequest("r0", ""), up, 1<<20)
+				if a, ok := res.Outcome.(outcome.Answered); !ok || string(a.Body) != "first" {
+					t.Errorf("first request: class %s, outcome %+v", res.Class, res.Outcome)
+				}
+				time.Sleep(50 * time.Millisecond)
+				if isSwept {
+					e.CloseBroken()
+					if !f.isClosed(closeTimeout) {
+						t.Error("the connection stays open")
+					}
+				}
+				res = e.Do(t.Context(), newVerbatimRequest("r1", ""), up, 1<<20)
+				if a, ok := res.Outcome.(outcome.Answered); !ok || string(a.Body) != "sound" {
+					t.Errorf("next request: class %s, outcome %+v", res.Class, res.Outcome)
+				}
+				if !f.isClosed(closeTimeout) {
+					t.Error("a connection stays open")
+				}
+			})
+		}
 	}
 }
 
