Bound the headers of answers between VMs, and end the read of a body at its limit

The client of the relay read 10 MiB of headers, and connect reads the rest of a message above its limit to drop it, so an answer without an end was read until the deadline.

--- a/relay/peer.go
+++ b/relay/peer.go
@@ -11,6 +11,7 @@
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
 
+	"github.com/fulmarhitch/fulmarhitch/limit"
 	"github.com/fulmarhitch/fulmarhitch/mirror"
 	"github.com/fulmarhitch/fulmarhitch/presence"
 )
@@ -131,10 +132,11 @@
 
 // NewClient returns a client that sends the reports of the table and applies the lists of VMs to it.
 func NewClient(vms *presence.Table) *Client {
-	return &Client{vms: vms, reported: make(map[string]uint64), http: &http.Client{Transport: &http.Transport{
+	transport := &limit.Transport{MaxBody: maxMessage, Base: &http.Transport{
 		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout,
-		DisableCompression: true,
-	}}}
+		DisableCompression: true, MaxResponseHeaderBytes: limit.MaxHeaderBytes,
+	}}
+	return &Client{vms: vms, reported: make(map[string]uint64), http: &http.Client{Transport: transport}}
 }
 
 // Close closes idle connections.
