--- a/flood/server.go
+++ b/flood/server.go
@@ -19,14 +19,14 @@
 	pollInterval = 5 * time.Millisecond
 )
 
-// Answer is an answer that begins with Start and continues with Rest, again and again, until the connection closes.
-type Answer struct {
+// Stream is a sequence of bytes that begins with Start and continues with Rest, again and again, until the connection closes.
+type Stream struct {
 	Start, Rest string
 }
 
 // Heads returns the answers of HTTP/1.1 whose headers have no end, by name.
-func Heads() map[string]Answer {
-	return map[string]Answer{
+func Heads() map[string]Stream {
+	return map[string]Stream{
 		"status line":           {"HTTP/1.1 200 ", "O"},
 		"no HTTP":               {"", "\x00\xff"},
 		"header lines":          {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
@@ -36,9 +36,9 @@
 }
 
 // Bodies returns the answers of HTTP/1.1 with the status line and the headers whose bodies have no end, by name.
-func Bodies(head string) map[string]Answer {
+func Bodies(head string) map[string]Stream {
 	const chunked = "Transfer-Encoding: chunked\r\n\r\n"
-	return map[string]Answer{
+	return map[string]Stream{
 		"chunks":                   {head + chunked, "1000\r\n" + strings.Repeat(" ", 0x1000) + "\r\n"},
 		"one chunk":                {head + chunked + "fffffffffff\r\n", " "},
 		"chunk size":               {head + chunked, "0"},
@@ -53,14 +53,14 @@
 // concurrent use.
 type Server struct {
 	listener net.Listener
-	answer   Answer
+	answer   Stream
 	interval time.Duration
 	open     atomic.Int64
 	sent     atomic.Int64
 }
 
 // NewServer starts a server. An interval above 0 makes it send the rest of its answers byte by byte.
-func NewServer(a Answer, interval time.Duration) (*Server, error) {
+func NewServer(a Stream, interval time.Duration) (*Server, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrap(err, "flood: listen")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -187,15 +187,15 @@
 	g.kernel.Register("crash-reports", kernel.NewWorker(g.crashGuard.RunReports))
 	g.kernel.Register("housekeeping", kernel.NewWorker(g.runHousekeeping))
 	if l.metrics != nil {
-		g.kernel.Register("metrics", newEndpoint(l.metrics, metrics.Handler()))
+		g.kernel.Register("metrics", newEndpoint(l.metrics, metrics.Handler(), maxQueryBytes))
 	}
 	if l.peers != nil {
-		g.kernel.Register("relay", newEndpoint(l.peers, relay.Handler(g.relay, g.vms)))
+		g.kernel.Register("relay", newEndpoint(l.peers, relay.Handler(g.relay, g.vms), maxReportBytes))
 	}
 	g.kernel.Register("membership", g.membership)
 	g.kernel.Register("ingress", g.ingress)
-	g.kernel.Register("directory", newEndpoint(l.directory, g.config.Directory(g.findAddresses)))
-	g.kernel.Register("readiness", newEndpoint(l.ready, g.config.Readiness(g.isReady)))
+	g.kernel.Register("directory", newEndpoint(l.directory, g.config.Directory(g.findAddresses), maxQueryBytes))
+	g.kernel.Register("readiness", newEndpoint(l.ready, g.config.Readiness(g.isReady), maxQueryBytes))
 	g.kernel.Register("registration", g.registration)
 	g.divideLimits()
 }
--- a/relay/endless_test.go
+++ b/relay/endless_test.go
@@ -23,8 +23,8 @@
 	t.Cleanup(func() { goleak.VerifyNone(t, current) })
 	answers := flood.Heads()
 	maps.Copy(answers, flood.Bodies("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"))
-	answers["body of an error"] = flood.Answer{Start: "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\n\r\n", Rest: " "}
-	answers["compressed body"] = flood.Answer{
+	answers["body of an error"] = flood.Stream{Start: "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\n\r\n", Rest: " "}
+	answers["compressed body"] = flood.Stream{
 		Start: "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Encoding: gzip\r\n\r\n", Rest: " "}
 	for speed, interval := range map[string]time.Duration{"flood": 0, "drip": 20 * time.Millisecond} {
 		for name, answer := range answers {
