Bound the time in which the body of a refused request is read

The read ends after 1 s now; a connection whose body has arrived stays usable.

Before, TestEndlessRequests of ingress failed in 19 cases, e.g. 'no rule, drip, chunks: read for 5m1s' (the longest that it waits). After: go test -count=2 ./ingress passes, with heads and bodies of callers without end and byte by byte.

--- a/ingress/handle.go
+++ b/ingress/handle.go
@@ -24,6 +24,9 @@
 	defaultTimeout = 30 * time.Second
 	// maxTimeout bounds the deadline that a caller states.
 	maxTimeout = 10 * time.Minute
+	// unreadBodyTimeout bounds the read of a body that is not needed, because its request is refused. The HTTP server reads it
+	// to keep the connection.
+	unreadBodyTimeout = time.Second
 	// retryAfterRefusal is the delay for a request that an upstream refused while others may accept it: only this VM's
 	// share of the retries and hedges was used up.
 	retryAfterRefusal = 30 * time.Millisecond
@@ -53,6 +56,9 @@
 	} else if set := s.config.Rules(); set != nil {
 		keepalive.Announce(r, w.Header(), set.Limits.IdleTimeout)
 	}
+	if r.Body != http.NoBody {
+		s.setReadDeadline(w, arrived.Add(unreadBodyTimeout))
+	}
 	job, resp := s.admit(w, r, arrived)
 	if job.Request != nil {
 		defer s.config.Bodies.Take(int64(len(job.Request.Body))).Close()
@@ -141,10 +147,8 @@
 		return nil, nil
 	}
 	// A caller that sends slowly may occupy the connection no longer than it would wait for an answer.
+	s.setReadDeadline(w, deadline)
 	control := http.NewResponseController(w)
-	if err := control.SetReadDeadline(deadline); err != nil {
-		s.config.Log.WithError(err).Warn("failed to set the read deadline for a request body")
-	}
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
 	hold := s.config.Bodies.Open(r.Header.Get(s.config.Dialect.RequestID), func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
@@ -158,12 +162,17 @@
 	case err != nil:
 		return nil, &errorResponse{status: http.StatusBadRequest, text: "body: " + err.Error()}
 	}
-	if err := control.SetReadDeadline(time.Time{}); err != nil {
-		s.config.Log.WithError(err).Warn("failed to clear the read deadline after a request body")
-	}
+	s.setReadDeadline(w, time.Time{})
 	return body, nil
 }
 
+// setReadDeadline bounds the read of the request's body; the zero time removes the bound.
+func (s *Server) setReadDeadline(w http.ResponseWriter, t time.Time) {
+	if err := http.NewResponseController(w).SetReadDeadline(t); err != nil {
+		s.config.Log.WithError(err).Warn("failed to set the read deadline for a request body")
+	}
+}
+
 // headerSize returns the approximate size of the request line and the headers in bytes.
 func headerSize(r *http.Request) int64 {
 	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
