Bound the headers of the store's answers

The clients of both stores read 10 MiB of headers, the default of net/http, which is several times as much once parsed, on a VM of 184 MB. The bound is 64 KiB, as for upstreams.

--- a/store/store.go
+++ b/store/store.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/fulmarhitch/fulmarhitch/limit"
 )
 
 const (
@@ -48,10 +50,11 @@
 // New returns a client of the store at the IP address and port.
 func New(address string) *Client {
 	return NewWithTransport(address, &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: 4,
-		IdleConnTimeout:     time.Minute,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    4,
+		IdleConnTimeout:        time.Minute,
+		MaxResponseHeaderBytes: limit.MaxHeaderBytes,
 	})
 }
 
