--- a/gateway/endpoint.go
+++ b/gateway/endpoint.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"log"
@@ -10,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
+	"github.com/fulmarhitch/fulmarhitch/limit"
 )
 
 const (
@@ -34,7 +33,7 @@
 // newEndpoint returns an endpoint for requests with bodies of at most maxBody bytes.
 func newEndpoint(l net.Listener, h http.Handler, maxBody int64) *endpoint {
 	return &endpoint{listener: l, http: &http.Server{
-		Handler: boundBody(h, maxBody), ReadHeaderTimeout: endpointTimeout, IdleTimeout: endpointTimeout, MaxHeaderBytes: maxEndpointHeaderBytes, ErrorLog: log.New(io.Discard, "", 0),
+		Handler: limit.Handler(h, maxBody, endpointTimeout), ReadHeaderTimeout: endpointTimeout, IdleTimeout: endpointTimeout, MaxHeaderBytes: maxEndpointHeaderBytes, ErrorLog: log.New(io.Discard, "", 0),
 	}}
 }
 
@@ -50,31 +49,3 @@
 	e.done.Wait()
 	return err
 }
-
-// boundBody returns a handler that reads the body of a request within its bounds before it calls h. Otherwise, a handler, or
-// the HTTP server after it, would go on reading a body without an end.
-func boundBody(h http.Handler, maxBody int64) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Body == http.NoBody {
-			h.ServeHTTP(w, r)
-			return
-		}
-		control := http.NewResponseController(w)
-		err := control.SetReadDeadline(time.Now().Add(endpointTimeout))
-		var body []byte
-		if err == nil {
-			body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-		}
-		if err == nil {
-			err = control.SetReadDeadline(time.Time{})
-		}
-		if err != nil {
-			// The deadline stays in force, because the HTTP server reads a part of the rest of the body.
-			w.Header().Set("Connection", "close")
-			http.Error(w, errors.Wrap(err, "body").Error(), http.StatusBadRequest)
-			return
-		}
-		r.Body = io.NopCloser(bytes.NewReader(body))
-		h.ServeHTTP(w, r)
-	})
-}
--- a/limit/doc.go
+++ b/limit/doc.go
@@ -1,2 +1,2 @@
-// Package limit bounds the answers that clients of our own processes and of the store read.
+// Package limit bounds the messages that our own processes and the store send.
 package limit
--- a/peer/client.go
+++ b/peer/client.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/fulmarhitch/fulmarhitch/limit"
 	"github.com/fulmarhitch/fulmarhitch/peerpb"
 	"github.com/fulmarhitch/fulmarhitch/peerpb/peerpbconnect"
 )
@@ -135,7 +136,7 @@
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "peer: dial %s", address), ErrUnsent)
 	}
-	cc := &callConn{conn: conn}
+	cc := &callConn{conn: conn, maxMessage: int64(c.options.MaxMessage)}
 	res, err := method(p.client, context.WithValue(ctx, callConnKey{}, cc), connect.NewRequest(m))
 	if !cc.used {
 		// The message could not be encoded.
@@ -150,8 +151,9 @@
 
 // callConn is the reserved connection of one call, stored in the call's context.
 type callConn struct {
-	conn *http.ClientConn
-	used bool
+	conn       *http.ClientConn
+	used       bool
+	maxMessage int64
 }
 
 // callConnKey is the context key of a *callConn.
@@ -166,5 +168,6 @@
 		return nil, errors.New("peer: no connection in the context")
 	}
 	cc.used = true
-	return cc.conn.RoundTrip(r)
+	transport := limit.Transport{Base: cc.conn, MaxBody: cc.maxMessage}
+	return transport.RoundTrip(r)
 }
--- a/peer/handler.go
+++ b/peer/handler.go
@@ -7,10 +7,14 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/fulmarhitch/fulmarhitch/limit"
 	"github.com/fulmarhitch/fulmarhitch/peerpb"
 	"github.com/fulmarhitch/fulmarhitch/peerpb/peerpbconnect"
 )
 
+// readTimeout bounds the time in which a message arrives.
+const readTimeout = 30 * time.Second
+
 // Hooks are the functions that serve the requests of peers, whose fields have been validated before.
 type Hooks struct {
 	Ping    func(context.Context, *peerpb.PingRequest) (*peerpb.PingResponse, error)
@@ -23,9 +27,10 @@
 // Mount adds the peer service to mux. Messages above maxMessage bytes and malformed ones are refused before they reach
 // a hook. A call of a nil hook fails with the code "unimplemented".
 func Mount(mux *http.ServeMux, h Hooks, maxMessage int) {
-	mux.Handle(peerpbconnect.NewPeerHandler(handler{h},
+	path, service := peerpbconnect.NewPeerHandler(handler{h},
 		connect.WithReadMaxBytes(maxMessage), connect.WithSendMaxBytes(maxMessage),
-		connect.WithCompression("gzip", nil, nil)))
+		connect.WithCompression("gzip", nil, nil))
+	mux.Handle(path, limit.Handler(service, int64(maxMessage), readTimeout))
 }
 
 // Server returns a server for HTTP/2 without TLS that serves the handler, with bounds on headers and idle connections.
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -10,6 +10,7 @@
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
 
+	"github.com/fulmarhitch/fulmarhitch/limit"
 	"github.com/fulmarhitch/fulmarhitch/peerpb/peerpbconnect"
 )
 
@@ -48,6 +49,8 @@
 			DialContext:        (&net.Dialer{Timeout: o.DialTimeout, KeepAlive: 15 * time.Second}).DialContext,
 			Protocols:          &protocols,
 			DisableCompression: true,
+			// A larger list of headers or trailers ends the call.
+			MaxResponseHeaderBytes: limit.MaxHeaderBytes,
 			HTTP2: &http.HTTP2Config{
 				SendPingTimeout: o.KeepAlive,
 				PingTimeout:     o.KeepAlive,
