Bound the number of entries in a compressed block between VMs

A block of entries was bounded to 64 MiB uncompressed, but entries without content take a byte each there, and repeated bytes compress to almost nothing: a block below 1 KiB took 12,546 MiB in all. The number of entries is read from the block and bounded to 100,000 before they are decoded, and a block to 32 MiB, six times that of ten thousand entries.

Before, TestExpandingBlocks failed: 'empty entries: entries were accepted' and 'empty entries: a block of 0 KiB took 12546 MiB'. After: go test ./relay passes, also TestLargeBlock with 20,000 entries and rules of 1 MiB; FuzzUnpack ran 20 s.

--- a/relay/pack.go
+++ b/relay/pack.go
@@ -13,7 +13,10 @@
 
 const (
 	// maxBlock is the largest size of an uncompressed block of entries in bytes. Ten thousand entries take about 5 MB.
-	maxBlock = 64 << 20
+	maxBlock = 32 << 20
+	// maxEntries is the largest number of entries in a block. Entries without content take a byte each in a block, but far
+	// more in memory.
+	maxEntries = 100_000
 	// maxBlocks is the number of blocks that are kept for further followers.
 	maxBlocks = 8
 )
@@ -83,6 +86,13 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "relay: compressed entries")
 	}
+	count, err := countEntries(encoded)
+	if err != nil {
+		return nil, errors.Wrap(err, "relay: count entries")
+	}
+	if count > maxEntries {
+		return nil, errors.Newf("relay: block has %d entries, more than %d", count, maxEntries)
+	}
 	var entries []wireEntry
 	if err := gob.NewDecoder(bytes.NewReader(encoded)).Decode(&entries); err != nil {
 		return nil, errors.Wrap(err, "relay: decode entries")
@@ -93,3 +103,53 @@
 	}
 	return list, nil
 }
+
+var errGob = errors.New("no gob stream of a slice")
+
+// countEntries returns the length of the slice in a gob stream, for which the decoder would take memory at once. The stream
+// consists of messages with their lengths: those that define types have negative type identifiers; that of a slice has a zero
+// byte and the number of elements after its type identifier.
+func countEntries(stream []byte) (uint64, error) {
+	for {
+		length, rest, ok := gobUint(stream)
+		if !ok || length > uint64(len(rest)) {
+			return 0, errGob
+		}
+		message := rest[:length]
+		stream = rest[length:]
+		id, value, ok := gobUint(message)
+		if !ok {
+			return 0, errGob
+		}
+		// The lowest bit of a signed integer is its sign.
+		if id&1 != 0 {
+			continue
+		}
+		if len(value) == 0 || value[0] != 0 {
+			return 0, errGob
+		}
+		count, _, ok := gobUint(value[1:])
+		if !ok {
+			return 0, errGob
+		}
+		return count, nil
+	}
+}
+
+// gobUint decodes an unsigned integer of a gob stream: a byte below 128, or the negated number of bytes that follow.
+func gobUint(data []byte) (n uint64, rest []byte, ok bool) {
+	if len(data) == 0 {
+		return 0, nil, false
+	}
+	if data[0] < 128 {
+		return uint64(data[0]), data[1:], true
+	}
+	length := -int(int8(data[0]))
+	if length > 8 || length >= len(data) {
+		return 0, nil, false
+	}
+	for _, b := range data[1 : 1+length] {
+		n = n<<8 | uint64(b)
+	}
+	return n, data[1+length:], true
+}
