Bound the time in which bodies arrive at entry VMs, also those that are not read

A file of a configuration, and the body of any request that is refused or needs none, had no read deadline: one byte a second kept a goroutine and a connection. A file has to arrive within 30 s, the body of a refused call within 1 s.

Before, TestEndlessRequests of frontend failed in 32 cases, e.g. 'configuration, drip, chunks: read for 5m1s' (the longest that it waits); heads, floods and bodies of calls passed. After: it passes.

--- a/frontend/call.go
+++ b/frontend/call.go
@@ -11,12 +11,15 @@
 
 	"github.com/fulmarhitch/fulmarhitch/declaration"
 	"github.com/fulmarhitch/fulmarhitch/header"
+	"github.com/fulmarhitch/fulmarhitch/limit"
 	"github.com/fulmarhitch/fulmarhitch/outcome"
 	"github.com/fulmarhitch/fulmarhitch/request"
 )
 
 const (
 	callPrefix = "/v1/call/"
+	// unreadBodyTimeout bounds the read of a body of a refused call.
+	unreadBodyTimeout = time.Second
 	// maxIDLength bounds a request identifier in bytes, because identifiers are stored and logged.
 	maxIDLength = 128
 )
@@ -24,6 +27,7 @@
 // interceptCalls returns a handler that serves calls itself and passes other requests to next. Calls bypass the router of
 // kratos, which would match patterns and copy the request for each.
 func (s *Server) interceptCalls(next http.Handler) http.Handler {
+	next = limit.Handler(next, maxFileBytes, fileTimeout)
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		if strings.HasPrefix(req.URL.Path, callPrefix) {
 			s.call(w, req)
@@ -52,6 +56,12 @@
 	defer s.running.Add(-1)
 	arrived := time.Now()
 	id := req.Header.Get(header.RequestID)
+	if req.Body != http.NoBody {
+		// The HTTP server reads the body of a refused call to keep the connection.
+		if err := http.NewResponseController(w).SetReadDeadline(arrived.Add(unreadBodyTimeout)); err != nil {
+			s.config.Log.WithError(err).Warn("frontend: failed to set the read deadline for a body")
+		}
+	}
 	r, refusal := s.decodeCall(w, req, arrived)
 	if refusal != nil {
 		writeOutcome(w, id, s.config.Refuse(req.Header.Get(header.Key), *refusal))
--- a/frontend/frontend_test.go
+++ b/frontend/frontend_test.go
@@ -31,11 +31,19 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return l.Addr().String(), serveOn(t, l, out)
+}
+
+// serveOn is like serve with a listener.
+func serveOn(t *testing.T, l net.Listener, out outcome.Outcome) *[]*request.Request {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	current := &generation.Current{Envelope: envelope.Envelope{Generation: 3, Submission: "x"}, Declaration: &declaration.Declaration{
-		Services: []declaration.Service{{Name: "s", Tenant: "t", MaxBody: 8, Kinds: []declaration.Kind{
-			{Name: "get", Idempotent: true, Timeout: time.Second}, {Name: "act", Timeout: time.Second}}}}}}
+		Services: []declaration.Service{
+			{Name: "s", Tenant: "t", MaxBody: 8, Kinds: []declaration.Kind{
+				{Name: "get", Idempotent: true, Timeout: time.Second}, {Name: "act", Timeout: time.Second}}},
+			{Name: "large", Tenant: "t", MaxBody: 16 << 20, Kinds: []declaration.Kind{{Name: "act", Timeout: time.Second}}},
+		}}}
 	var ran []*request.Request
 	s := frontend.New(frontend.Config{
 		Listener: l, Current: func() *generation.Current { return current }, Metrics: http.NotFoundHandler(), Log: logrus.NewEntry(log),
@@ -60,7 +68,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = s.Stop(context.Background()) })
-	return l.Addr().String(), &ran
+	return &ran
 }
 
 // exchange sends the text of a request on a new connection and returns the response with its body.
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -28,6 +28,8 @@
 	// maxFileBytes bounds the body with a configuration in bytes. It equals envelope.MaxText, the bound on the text in the
 	// store; a smaller file that is above document.MaxSize gets a finding.
 	maxFileBytes = 8 << 20
+	// fileTimeout bounds the time in which such a body arrives.
+	fileTimeout = 30 * time.Second
 )
 
 // Config holds the dependencies of a Server.
