--- a/soak/fault.go
+++ b/soak/fault.go
@@ -95,7 +95,8 @@
 	behaviours := []standin.Behaviour{
 		standin.Shed, standin.Fail, standin.Reset, standin.Truncate, standin.Unframed, standin.StrayBefore, standin.StrayAfter,
 		standin.Encode, standin.Unstamped, standin.Garbage, standin.Hang, standin.Misdirected,
-		standin.EndlessHead, standin.EndlessBody, standin.Drip,
+		standin.EndlessHead, standin.EndlessBody, standin.EndlessInterim, standin.EndlessTrailers, standin.EndlessIdle,
+		standin.EndlessHealth, standin.Drip, standin.DripHead,
 	}
 	u, behaviour := s.upstreams[r.IntN(len(s.upstreams))], behaviours[r.IntN(len(behaviours))]
 	return fmt.Sprintf("%s with behaviour %s", u.ID, behaviour),
