Count an answer that drips as a failure of its upstream, also if its caller has left

An attempt that a hedge has overtaken ends when its caller has been answered. If its body dripped, it counted as cancelled, so the failure rate of the upstream stayed 0, and it got requests on and on.

--- a/exchange/answer.go
+++ b/exchange/answer.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -31,7 +32,11 @@
 		if errors.IsAny(err, buffer.ErrTooLarge, buffer.ErrEvicted, errUnmarked) {
 			return unknown(Truncated, outcome.Truncated, err.Error())
 		}
-		return a.resultAfterWrite(ctx, outcome.Truncated, Truncated, err)
+		res := a.resultAfterWrite(ctx, outcome.Truncated, Truncated, err)
+		if res.Class == Cancelled && float64(a.conn.bodyBytes()) < minRate*time.Since(a.begun).Seconds() {
+			return unknown(Truncated, outcome.Truncated, "caller left an answer that arrived too slowly")
+		}
+		return res
 	}
 	if a.echo && a.dialect.IsAltered(resp) {
 		return unknown(Mismatched, outcome.Mismatched, "answer is not the upstream's own")
--- a/exchange/attempt.go
+++ b/exchange/attempt.go
@@ -25,6 +25,9 @@
 	// callerGrace is the time for which an answer that has begun is still read after its caller has left, so that a short one
 	// doesn't cost the connection. The upstream's silence doesn't count: it may be at work on a request that runs only once.
 	callerGrace = 250 * time.Millisecond
+	// minRate is the rate of a body, in bytes per second, below which an answer that is broken off counts as a failure of its
+	// upstream. Sound upstreams send at the rate of the link.
+	minRate = 1 << 10
 	// maxInterim is the maximum number of responses read until the final one; those before it are informational.
 	maxInterim = 5
 )
@@ -46,7 +49,8 @@
 	reused bool
 	// grace is what is left of callerGrace.
 	grace time.Duration
-	// endMessage ends the bound on the message being read.
+	// begun is the time of the first byte of the message being read, and endMessage ends the bound on it.
+	begun      time.Time
 	endMessage func()
 }
 
@@ -139,7 +143,8 @@
 // beginMessage bounds the time to read a message whose first byte has arrived, until endMessage is called: if the caller has
 // left, it is cancelled after the grace.
 func (a *attempt) beginMessage(ctx context.Context, cancel context.CancelFunc) {
-	begun, grace := time.Now(), a.grace
+	a.begun = time.Now()
+	begun, grace := a.begun, a.grace
 	ctx, end := context.WithCancel(ctx)
 	stop := context.AfterFunc(a.caller, func() {
 		if backoff.Sleep(ctx, grace) {
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -149,3 +149,9 @@
 	}
 	return resp, err
 }
+
+// bodyBytes returns the number of bytes that were read since the headers of the response, with which the first ones of the
+// body may have come.
+func (c *conn) bodyBytes() int64 {
+	return math.MaxInt64 - c.limited.N
+}
