Bound the headers of the VM list

Before, TestEndlessAnswers of vmlist failed in all 5 head cases, e.g. 'flood, header lines: 10 MiB were read, want at most 4 MiB'; bodies and drips passed. After: go test ./vmlist passes.

--- a/vmlist/vmlist.go
+++ b/vmlist/vmlist.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/fulmarhitch/fulmarhitch/limit"
 )
 
 const (
@@ -50,9 +52,10 @@
 func New(address string) *Client {
 	return &Client{address: address, http: &http.Client{
 		Transport: &http.Transport{
-			DialContext:        (&net.Dialer{Timeout: callTimeout}).DialContext,
-			DisableCompression: true,
-			IdleConnTimeout:    time.Minute,
+			DialContext:            (&net.Dialer{Timeout: callTimeout}).DialContext,
+			DisableCompression:     true,
+			IdleConnTimeout:        time.Minute,
+			MaxResponseHeaderBytes: limit.MaxHeaderBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
