--- a/exchange/exchanger.go
+++ b/exchange/exchanger.go
@@ -55,7 +55,7 @@
 }
 
 // DoFor is like Do for a caller whose context is done once it has left. The request is not sent after that. If it has been
-// sent, the body of its answer is no longer read after a short time.
+// sent, its answer is awaited, but one that has begun is no longer read after a short time.
 func (e *Exchanger) DoFor(ctx, caller context.Context, r *request.Request, up declaration.Upstream, maxAnswer int) Result {
 	return e.do(ctx, caller, r, up, maxAnswer, true)
 }
--- a/frontend/call.go
+++ b/frontend/call.go
@@ -1,7 +1,7 @@
 package frontend
 
 import (
-	"io"
+	"bytes"
 	"net/http"
 	"strconv"
 	"strings"
@@ -11,12 +11,17 @@
 
 	"github.com/fulmarhitch/fulmarhitch/declaration"
 	"github.com/fulmarhitch/fulmarhitch/header"
+	"github.com/fulmarhitch/fulmarhitch/limit"
 	"github.com/fulmarhitch/fulmarhitch/outcome"
 	"github.com/fulmarhitch/fulmarhitch/request"
 )
 
 const (
 	callPrefix = "/v1/call/"
+	// maxDirectBody is the largest announced length in bytes for which memory is taken at once.
+	maxDirectBody = 32 << 10
+	// unreadBodyTimeout bounds the read of a body of a refused call.
+	unreadBodyTimeout = time.Second
 	// maxIDLength bounds a request identifier in bytes, because identifiers are stored and logged.
 	maxIDLength = 128
 )
@@ -24,6 +29,7 @@
 // interceptCalls returns a handler that serves calls itself and passes other requests to next. Calls bypass the router of
 // kratos, which would match patterns and copy the request for each.
 func (s *Server) interceptCalls(next http.Handler) http.Handler {
+	next = limit.Handler(next, maxFileBytes, fileTimeout)
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		if strings.HasPrefix(req.URL.Path, callPrefix) {
 			s.call(w, req)
@@ -52,6 +58,12 @@
 	defer s.running.Add(-1)
 	arrived := time.Now()
 	id := req.Header.Get(header.RequestID)
+	if req.Body != http.NoBody {
+		// The HTTP server reads the body of a refused call to keep the connection.
+		if err := http.NewResponseController(w).SetReadDeadline(arrived.Add(unreadBodyTimeout)); err != nil {
+			s.config.Log.WithError(err).Warn("frontend: failed to set the read deadline for a body")
+		}
+	}
 	r, refusal := s.decodeCall(w, req, arrived)
 	if refusal != nil {
 		writeOutcome(w, id, s.config.Refuse(req.Header.Get(header.Key), *refusal))
@@ -169,23 +181,21 @@
 	return nil
 }
 
+// readAll reads the body. Memory is taken as it arrives, whatever length was announced.
 func readAll(w http.ResponseWriter, req *http.Request, limit int) ([]byte, *outcome.NotRun) {
-	if req.ContentLength > 0 {
-		body := make([]byte, req.ContentLength)
-		if _, err := io.ReadFull(req.Body, body); err != nil {
-			return nil, badRequest("body: ended early: " + err.Error())
-		}
-		return body, nil
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, int64(limit)))
-	if err != nil {
-		var large *http.MaxBytesError
-		if errors.As(err, &large) {
-			return nil, tooLarge(limit)
-		}
+	var body bytes.Buffer
+	body.Grow(int(min(max(req.ContentLength, 0), maxDirectBody)) + bytes.MinRead)
+	_, err := body.ReadFrom(http.MaxBytesReader(w, req.Body, int64(limit)))
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return nil, tooLarge(limit)
+	case err != nil && req.ContentLength > 0:
+		return nil, badRequest("body: ended early: " + err.Error())
+	case err != nil:
 		return nil, badRequest("body: " + err.Error())
 	}
-	return body, nil
+	return body.Bytes(), nil
 }
 
 func badRequest(detail string) *outcome.NotRun {
--- a/gateway/endpoint.go
+++ b/gateway/endpoint.go
@@ -8,13 +8,20 @@
 	"net/http"
 	"sync"
 	"time"
-)
 
-// endpointTimeout bounds the reading of a request's headers and the idle time of a connection.
-const endpointTimeout = 10 * time.Second
+	"github.com/fulmarhitch/fulmarhitch/limit"
+)
 
-// maxEndpointHeaderBytes bounds the headers of a request.
-const maxEndpointHeaderBytes = 16 << 10
+const (
+	// endpointTimeout bounds the reading of a request's headers, that of its body, and the idle time of a connection.
+	endpointTimeout = 10 * time.Second
+	// maxEndpointHeaderBytes bounds the headers of a request.
+	maxEndpointHeaderBytes = 16 << 10
+	// maxReportBytes bounds the body of a call between VMs, which lists VMs. One takes about 250 bytes.
+	maxReportBytes = 2 << 20
+	// maxQueryBytes bounds the body of a request that needs none.
+	maxQueryBytes = 4 << 10
+)
 
 // endpoint is a kernel service that runs an HTTP server on a listener of its own.
 type endpoint struct {
@@ -23,9 +30,10 @@
 	done     sync.WaitGroup
 }
 
-func newEndpoint(l net.Listener, h http.Handler) *endpoint {
+// newEndpoint returns an endpoint for requests with bodies of at most maxBody bytes.
+func newEndpoint(l net.Listener, h http.Handler, maxBody int64) *endpoint {
 	return &endpoint{listener: l, http: &http.Server{
-		Handler: h, ReadHeaderTimeout: endpointTimeout, IdleTimeout: endpointTimeout, MaxHeaderBytes: maxEndpointHeaderBytes, ErrorLog: log.New(io.Discard, "", 0),
+		Handler: limit.Handler(h, maxBody, endpointTimeout), ReadHeaderTimeout: endpointTimeout, IdleTimeout: endpointTimeout, MaxHeaderBytes: maxEndpointHeaderBytes, ErrorLog: log.New(io.Discard, "", 0),
 	}}
 }
 
