Take a free slot of a shedding upstream in place of waiting for a full one

TestShedding failed rarely, e.g. The test runs in virtual time, so it doesn't measure the scheduler: requests were refused late.

Cause: while all upstreams shed half of their requests, one that happens to accept several in succession has a low measured failure rate. The others keep high ones, since avoided upstreams yield no results. All requests go to the lucky one, which fills up, and then wait for it although the other eight have free slots, and are refused by it at the end of the wait with the same probability. Traced: free=0 at u00 with a rate of 0.08 to 0.38, free=6 at the sampled others with 0.75 to 0.85. The wait also made less urgent requests leave a slot free.

Change: a request for which the cheapest upstream has no slot in time takes the cheapest free one of the sample that is reachable, in time and at a failure rate of at most 0.8; it waits only if there is none. TestFreeSlot holds the decision without chance; without the change its two cases with a half-shedding upstream fail.

--- a/forwarder/choose.go
+++ b/forwarder/choose.go
@@ -35,6 +35,10 @@
 	targetShare = 0.9
 	// roundsPerFar is the number of selection rounds of a waiting request of which one includes other failure domains.
 	roundsPerFar = 3
+	// maxFailureRate is the failure rate up to which a request takes a free slot rather than wait for a cheaper upstream. The
+	// rates of avoided upstreams, which yield no results, have to fall below it soon: after four failures in succession they
+	// do in 150 ms, and in 1.3 s at most, after which an upstream that answers none costs one request.
+	maxFailureRate = 0.8
 )
 
 // choice is a chosen upstream with its cost.
@@ -44,7 +48,14 @@
 	cost, expectedTime float64
 }
 
-// acquire waits for an upstream that is expected to answer in time, and returns it or the reason why there is none.
+// newChoice returns the choice of the candidate.
+func newChoice(c selection.Candidate, now time.Time) *choice {
+	return &choice{Candidate: c, cost: selection.Cost(c, now), expectedTime: selection.ExpectedTime(c, now)}
+}
+
+// acquire waits for an upstream that is expected to answer in time, and returns it or the reason why there is none. It waits
+// only if no sampled upstream with an acceptable failure rate has a free slot: when all of them shed, the one that shed least
+// lately fills up, and a request that waits for it is no less likely to be refused, but late.
 //
 // Waiting here keeps the queues of the upstreams short: a request queued at an upstream can neither move to one that
 // becomes free nor yield to a more urgent request. A request that can no longer be answered in time takes a free slot of a
@@ -56,12 +67,22 @@
 		c := r.choose(round%roundsPerFar == 0)
 		waited := time.Since(r.job.Arrived)
 		late := waited+usual > target
+		isTimely := func(c *choice) bool {
+			return waited+time.Duration(c.expectedTime*float64(usual)) <= target && r.mayTakeSlot(c)
+		}
+		if c != nil && !isTimely(c) {
+			if free := r.cheapestFree(isTimely); free != nil {
+				// The better slots are left to the more urgent requests all the same.
+				r.config.Pressure.Add(r.job.Request.Service, r.job.Rule.Priority, time.Now())
+				return free, nil
+			}
+		}
 		isKnown := len(r.config.Roster.Usable(r.job.Request.Service)) > 0
 		switch {
 		case c == nil && (late || !isKnown):
 			return nil, outcome.NotRun{Reason: outcome.NoUpstream}
 		case c == nil:
-		case waited+time.Duration(c.expectedTime*float64(usual)) <= target && r.mayTakeSlot(c):
+		case isTimely(c):
 			return c, nil
 		case late && selection.FreeSlots(c.Candidate) > 0:
 			return c, nil
@@ -81,6 +102,22 @@
 	return selection.FreeSlots(c.Candidate) > 1 || !r.config.Pressure.HasMoreUrgent(r.job.Request.Service, r.job.Rule.Priority, time.Now())
 }
 
+// cheapestFree returns the cheapest upstream of the latest sample with a free slot and an acceptable failure rate for which
+// isTimely holds, or nil if there is none.
+func (r *run) cheapestFree(isTimely func(*choice) bool) *choice {
+	now := time.Now()
+	var best *choice
+	for _, candidate := range r.sampled {
+		c := newChoice(candidate, now)
+		isFree := selection.FreeSlots(candidate) > 0 && !candidate.Condition.Unreachable &&
+			candidate.Condition.FailureRate <= maxFailureRate
+		if isFree && isTimely(c) && (best == nil || c.cost < best.cost) {
+			best = c
+		}
+	}
+	return best
+}
+
 // target returns the time after the arrival within which an answer counts as in time.
 func (r *run) target() time.Duration {
 	remaining := r.job.Request.Deadline.Sub(r.job.Arrived)
@@ -94,6 +131,7 @@
 // are considered only if mayUseFar is true and none of the VM's own has an acceptable cost.
 func (r *run) choose(mayUseFar bool) *choice {
 	near, far := r.candidates()
+	r.sampled = r.sampled[:0]
 	best := r.improve(nil, r.subset(near), true, nearPollWait)
 	if mayUseFar && (best == nil || best.cost > acceptableCost) {
 		best = r.improve(best, far, false, farPollWait)
@@ -151,11 +189,12 @@
 	sampled = slices.DeleteFunc(sampled, func(u roster.Upstream) bool { return !r.config.Roster.IsUsable(u) })
 	now := time.Now()
 	list := r.withConditions(sampled, near, now)
+	r.sampled = append(r.sampled, list...)
 	i, cost := selection.Best(list, now)
 	if i < 0 || current != nil && current.cost <= cost {
 		return current
 	}
-	return &choice{Candidate: list[i], cost: cost, expectedTime: selection.ExpectedTime(list[i], now)}
+	return newChoice(list[i], now)
 }
 
 // withConditions returns the upstreams as candidates with their present conditions.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -47,6 +47,8 @@
 	*Forwarder
 	job      Job
 	attempts []Attempt
+	// sampled holds the candidates among which the latest choice was made.
+	sampled []selection.Candidate
 	// inFlight is the number of attempts in progress.
 	inFlight int
 	results  chan attemptResult
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -270,6 +270,57 @@
 	})
 }
 
+// TestFreeSlot guards against requests that wait for a full upstream, to be refused late, while one that sheds about half of its
+// requests has free slots, and against requests that are sent to one that answers none. The full upstream is the cheaper one.
+func TestFreeSlot(t *testing.T) {
+	tests := map[string]struct {
+		rule *ruleset.Rule
+		// failures is the number of requests that the upstream with free slots has failed in succession.
+		failures int
+		want     string
+		waits    bool
+	}{
+		"urgent, half shed":   {urgent, 2, "u01", false},
+		"plain, half shed":    {plain, 2, "u01", false},
+		"urgent, none served": {urgent, 5, "u00", true},
+		"plain, none served":  {plain, 5, "u00", true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, r := newService(2, 6)
+				full := s.ups["u00"]
+				full.running, full.waiting = full.slots, full.slots+1
+				time.AfterFunc(50*time.Millisecond, func() {
+					s.mu.Lock()
+					full.running, full.waiting = 0, 0
+					s.mu.Unlock()
+				})
+				for range test.failures {
+					s.table.Begin("u01", time.Now())
+					s.table.End("u01", true, time.Now())
+				}
+				pressure := forwarder.NewPressure()
+				f := forwarder.New(forwarder.Config{
+					FailureDomain: "near", Roster: r, Conditions: s.table, Transport: s, Sampler: s, Retries: forwarder.NewRetries(0),
+					Times: forwarder.NewTimes(), Pressure: pressure,
+				})
+				start := time.Now()
+				res := f.Serve(context.Background(), forwarder.Job{Rule: test.rule, Arrived: start, Request: &request.Request{
+					ID: "r", Service: "s", Body: make([]byte, 50), Deadline: start.Add(time.Second), Idempotent: test.rule.Idempotent,
+				}})
+				if len(res.Attempts) != 1 || res.Attempts[0].Upstream.ID != test.want || res.Attempts[0].Started > 0 != test.waits {
+					t.Errorf("%+v, want one attempt at %s, after a wait: %t", res.Attempts, test.want, test.waits)
+				}
+				if !pressure.HasMoreUrgent("s", test.rule.Priority+1, time.Now()) {
+					t.Errorf("less urgent requests leave no slot free")
+				}
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
 // TestLostAnswers guards against non-idempotent requests that are sent again after their answer was lost.
 func TestLostAnswers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
