Count listed VMs that have not answered yet before a starting VM becomes ready

TestTooMany failed once at load average 15: the VM too many did not refuse within 15 s ("more, known from the list only"). The cause doesn't need load. A starting VM counted the members of which it had gossip; those that it knew from the VM list or the settings only counted nothing until they had answered a ping, up to 250 ms later. A caller that asked between the arrival of the configuration and the first answer found it ready, and a process that is ready stays so. The test asked once, mostly before the configuration.

Change: listed VMs count until three pings to them have gone unanswered, those not yet known are pinged first, and a ping that took longer than a pause of this process proves nothing. A VM that exceeds the maximum only by such VMs therefore waits until it knows; others are ready as soon as before. The first comparison with a peer, by which a VM learns the other members, is repeated until it succeeds; before, one lost message delayed it by up to 10 s.

Open: a VM that knows too few others because the VM list can't be read or is incomplete may still become ready before the comparison.

--- a/entry/readiness.go
+++ b/entry/readiness.go
@@ -46,17 +46,17 @@
 }
 
 // becomeReady makes the process ready, and reports true, if the store or enough peers have confirmed the configuration
-// in force here and the live entry VMs don't exceed their maximum.
+// in force here and the entry VMs that may be alive don't exceed their maximum. Listed VMs count until they have failed to
+// answer, because a process that has become ready stays so.
 func (e *Entry) becomeReady() bool {
 	p := e.router.Plan()
 	if p == nil || !e.readiness.vmListRequested.Load() {
 		return false
 	}
-	live := e.gossip.Live()
-	if len(live) > p.Declaration.MaxEntryVMs {
+	if e.gossip.MaxLive() > p.Declaration.MaxEntryVMs {
 		return false
 	}
-	if e.syncer.LastContact().IsZero() && !e.confirmedByPeers(p.Declaration, live) {
+	if e.syncer.LastContact().IsZero() && !e.confirmedByPeers(p.Declaration, e.gossip.Live()) {
 		return false
 	}
 	e.readiness.ready.Store(true)
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -133,6 +133,13 @@
 	return g.table.Live()
 }
 
+// MaxLive returns the number of VMs that may be alive, including this VM and the listed VMs whose answers are still awaited.
+func (g *Gossip) MaxLive() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.MaxLive()
+}
+
 // Members returns this VM and every VM of which gossip was received, including dead ones, sorted by name.
 func (g *Gossip) Members() []member.Member {
 	g.mu.Lock()
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -1,6 +1,7 @@
 package gossip_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -153,6 +154,33 @@
 	})
 }
 
+// TestMaxLive guards against a starting VM that counts too few others at any time, even while messages are lost, and against one
+// that counts listed VMs that are gone after it could have found that out.
+func TestMaxLive(t *testing.T) {
+	const size, gone = 20, 6
+	for _, loss := range []float64{0, 0.1} {
+		inBubble(t, size, func(n *network, vms []*vm) {
+			Convey(fmt.Sprintf("Given a VM that starts with a list of %d VMs, %d of which are gone, and a loss of %g", size+gone, gone, loss), t, func() {
+				n.setFaults(loss, nil)
+				listed := slices.Clone(n.list)
+				for i := range gone {
+					listed = append(listed, member.Listed{Name: fmt.Sprint("gone", i), PeerAddress: fmt.Sprintf("127.1.0.%d:7000", i+1)})
+				}
+				v := n.add(size)
+				defer v.kill()
+				v.ApplyList(listed)
+				least := size + gone + 1
+				for range 800 {
+					least = min(least, v.MaxLive())
+					time.Sleep(10 * time.Millisecond)
+				}
+				So(least, ShouldEqual, size+1)
+				So(v.MaxLive(), ShouldEqual, size+1)
+			})
+		})
+	}
+}
+
 func drain(upstream string, version uint64) *peerpb.Event {
 	return &peerpb.Event{Kind: &peerpb.Event_Upstream{Upstream: &peerpb.UpstreamEvent{
 		Service: "s", Upstream: upstream, State: peerpb.UpstreamEvent_STATE_DRAINING, Version: version, Observer: "e000",
--- a/gossip/worker.go
+++ b/gossip/worker.go
@@ -89,7 +89,13 @@
 		g.mu.Unlock()
 	}()
 	start := time.Now()
-	if g.ping(ctx, m, m.PeerAddress, "", g.options.PingTimeout) || ctx.Err() != nil {
+	answered := g.ping(ctx, m, m.PeerAddress, "", g.options.PingTimeout)
+	if m.State == member.Candidate && (answered || !wasPaused(start, g.options.PingTimeout)) {
+		g.mu.Lock()
+		g.table.RecordPing(m.Name, m.PeerAddress, answered)
+		g.mu.Unlock()
+	}
+	if answered || ctx.Err() != nil {
 		return
 	}
 	if m.State != member.Alive && m.State != member.Leaving {
@@ -98,10 +104,10 @@
 	if g.indirectPing(ctx, m) || ctx.Err() != nil {
 		return
 	}
-	now := time.Now()
-	if now.Sub(start) > 2*(g.options.PingTimeout+g.options.IndirectTimeout) {
-		return // this process was paused, so the pings prove nothing
+	if wasPaused(start, g.options.PingTimeout+g.options.IndirectTimeout) {
+		return
 	}
+	now := time.Now()
 	g.mu.Lock()
 	suspicion, ok := g.table.Suspect(m.Name, m.Incarnation, now)
 	if ok {
@@ -116,6 +122,12 @@
 	}
 }
 
+// wasPaused reports whether this process seems to have been paused during pings with the total timeout, so that they prove
+// nothing.
+func wasPaused(start time.Time, timeout time.Duration) bool {
+	return time.Since(start) > 2*timeout
+}
+
 // indirectPing asks random members to ping m and reports whether one of them reached it.
 func (g *Gossip) indirectPing(ctx context.Context, m member.Member) bool {
 	g.mu.Lock()
@@ -222,7 +234,7 @@
 }
 
 // compareLoop compares the whole state with a random peer in each interval. The first comparison is made as soon as a
-// peer is known, so that a starting VM learns the members at once; a random wait then spreads the comparisons of the VMs
+// peer is known, and repeated until it succeeds, so that a starting VM learns the members at once; a random wait then spreads the comparisons of the VMs
 // over the interval.
 func (g *Gossip) compareLoop(ctx context.Context) {
 	wait, joined := g.options.PingTimeout, false
@@ -236,28 +248,33 @@
 		peers := g.table.Sample(1, "")
 		if joined {
 			wait = g.options.CompareInterval
-		} else if len(peers) > 0 {
-			joined = true
-			wait = time.Duration(g.rnd.Int64N(int64(g.options.CompareInterval)))
 		}
 		g.mu.Unlock()
 		for _, p := range peers {
-			g.compareWith(ctx, p.PeerAddress)
+			if g.compareWith(ctx, p.PeerAddress) && !joined {
+				joined = true
+				g.mu.Lock()
+				wait = time.Duration(g.rnd.Int64N(int64(g.options.CompareInterval)))
+				g.mu.Unlock()
+			}
 		}
 	}
 }
 
 // compareWith sends digests of the state, applies the peer's events where the digests differ, and sends the events that
-// the peer lacks.
-func (g *Gossip) compareWith(ctx context.Context, address string) {
+// the peer lacks. It reports whether the peer answered.
+func (g *Gossip) compareWith(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, 5*g.options.PingTimeout)
 	defer cancel()
 	g.mu.Lock()
 	q := &peerpb.CompareRequest{Sender: g.sender(), Digests: digest(g.state(time.Now()))}
 	g.mu.Unlock()
 	res, err := g.transport.Compare(ctx, address, q)
-	if err != nil || g.applyMessage(res.GetSender(), res.GetEvents(), time.Now()) != nil || len(res.GetDiffering()) == 0 {
-		return
+	if err != nil || g.applyMessage(res.GetSender(), res.GetEvents(), time.Now()) != nil {
+		return false
+	}
+	if len(res.GetDiffering()) == 0 {
+		return true
 	}
 	received := make(map[uint64]bool, len(res.GetEvents()))
 	for _, e := range res.GetEvents() {
@@ -275,4 +292,5 @@
 	if len(reply.Events) > 0 {
 		_, _ = g.transport.Compare(ctx, address, reply)
 	}
+	return true
 }
--- a/member/table.go
+++ b/member/table.go
@@ -10,11 +10,16 @@
 // maxEntries bounds the table in case peers report invented names; a fleet is designed for some hundreds of VMs.
 const maxEntries = 4096
 
+// maxUnanswered is the number of unanswered pings after which a candidate no longer counts as possibly alive: more than one,
+// since pings may be lost and a VM that is short of processor time may answer too late.
+const maxUnanswered = 3
+
 type entry struct {
 	Member
 	since         time.Time // when the state was entered
 	listed        bool
 	listedLeaving bool // marked as leaving by the VM list
+	unanswered    int  // pings to this candidate without an answer
 }
 
 // Table is one VM's view of the membership. It is not safe for concurrent use.
@@ -151,6 +156,9 @@
 			t.entries[l.Name] = e
 		}
 		if e.State == Candidate {
+			if e.PeerAddress != l.PeerAddress {
+				e.unanswered = 0
+			}
 			e.Member = Member{Name: l.Name, Address: l.Address, PeerAddress: l.PeerAddress, FailureDomain: l.FailureDomain}
 		}
 		e.listed = true
@@ -244,9 +252,39 @@
 	return t.sample(n, func(e *entry) bool { return e.State == Suspect })
 }
 
-// Candidates returns up to n random candidates.
+// Candidates returns up to n random candidates, those that may be alive first.
 func (t *Table) Candidates(n int) []Member {
-	return t.sample(n, func(e *entry) bool { return e.State == Candidate })
+	all := t.sample(n, func(e *entry) bool { return e.State == Candidate && e.unanswered < maxUnanswered })
+	return append(all, t.sample(n-len(all), func(e *entry) bool { return e.State == Candidate && e.unanswered >= maxUnanswered })...)
+}
+
+// RecordPing records whether the candidate with this name and peer address answered a ping. If it did and is still a
+// candidate, its VM is a member under another name or address.
+func (t *Table) RecordPing(name, peerAddress string, answered bool) {
+	e, ok := t.entries[name]
+	switch {
+	case !ok || e.State != Candidate || e.PeerAddress != peerAddress:
+	case answered:
+		e.unanswered = maxUnanswered
+	default:
+		e.unanswered++
+	}
+}
+
+// MaxLive returns the number of VMs that may be alive: the live members, including self, and the peer addresses of
+// candidates of which that is unknown because they have not been pinged often enough.
+func (t *Table) MaxLive() int {
+	n := 1
+	pending := make(map[string]bool)
+	for _, e := range t.entries {
+		switch {
+		case e.mayBeAlive():
+			n++
+		case e.State == Candidate && e.unanswered < maxUnanswered:
+			pending[e.PeerAddress] = true
+		}
+	}
+	return n + len(pending)
 }
 
 // DeadSample returns up to n random dead members. Pinging them from time to time detects the end of a partition.
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -147,6 +147,52 @@
 	})
 }
 
+// TestMaxLive guards against listed VMs that don't count before they have had the time to answer, that count twice, or that
+// count for ever although they are gone.
+func TestMaxLive(t *testing.T) {
+	entry := func(name, address string) member.Listed {
+		return member.Listed{Name: name, Address: name + ":8", PeerAddress: address, FailureDomain: "d"}
+	}
+	pinged := func(address string, times int) func(table *member.Table) {
+		return func(table *member.Table) {
+			for range times {
+				table.RecordPing("a", address, false)
+			}
+		}
+	}
+	tests := map[string]struct {
+		change func(table *member.Table)
+		want   int
+	}{
+		"not pinged":                  {func(*member.Table) {}, 3},
+		"two pings unanswered":        {pinged("a:7", 2), 3},
+		"three pings unanswered":      {pinged("a:7", 3), 2},
+		"pings to an earlier address": {pinged("old:7", 3), 3},
+		"another address after three pings": {func(table *member.Table) {
+			pinged("a:7", 3)(table)
+			table.ApplyList([]member.Listed{entry("a", "new:7"), entry("b", "b:7")})
+		}, 3},
+		"listed twice": {func(table *member.Table) {
+			table.ApplyList([]member.Listed{entry("a", "a:7"), entry("b", "b:7"), {Name: "a:7", PeerAddress: "a:7"}})
+		}, 3},
+		"not listed any more":              {func(table *member.Table) { table.ApplyList([]member.Listed{entry("b", "b:7")}) }, 2},
+		"answered as itself":               {func(table *member.Table) { table.Apply(vm("a", "11", member.Alive, 1), start) }, 3},
+		"answered by a VM of another name": {func(table *member.Table) { table.RecordPing("a", "a:7", true) }, 2},
+		"dead": {func(table *member.Table) {
+			table.Apply(vm("a", "11", member.Alive, 1), start)
+			table.Apply(vm("a", "11", member.Dead, 1), start)
+		}, 2},
+	}
+	for name, test := range tests {
+		Convey("Given two listed VMs, "+name, t, func() {
+			table := newTable()
+			table.ApplyList([]member.Listed{entry("a", "a:7"), entry("b", "b:7")})
+			test.change(table)
+			So(table.MaxLive(), ShouldEqual, test.want)
+		})
+	}
+}
+
 // TestRound guards against members that are not pinged for a long time because of the random order.
 func TestRound(t *testing.T) {
 	Convey("Given ten members, each round visits each once", t, func() {
--- a/rehearsal/budget_test.go
+++ b/rehearsal/budget_test.go
@@ -122,6 +122,12 @@
 			f.vms = append(f.vms, newer)
 			v := c.which(older, newer)
 			refuses := func() bool { return statusOf(v.lookup()) == http.StatusServiceUnavailable }
+			if v == newer {
+				// It must not serve even for the moment in which it has a configuration but no answer from the others.
+				for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+					f.so(refuses(), ShouldBeTrue)
+				}
+			}
 			// A process releases its name only after its first 10 s.
 			f.so(waitUntil(waitTimeout, refuses), ShouldBeTrue)
 			time.Sleep(time.Second) // a probe in flight may take up to 1 s
