Tell followers that the store is lost only after a second without contact

Cause: a first failed read made a VM tell its followers at once that it had lost the store. When the store was away for a tenth of a second, all relays turned to it and, as it then was in a new era, read all entries: 14 reads in place of one.

Change: followers are told once the last contact is a second old, as the VM's own log and grace period have it already. The standby notices a watcher without contact after 1.25 s anyway.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -371,8 +371,11 @@
 // recordFailure records a failed call to the store.
 func (m *Mirror) recordFailure(err error) {
 	m.storeFails = true
+	if m.Age() < outageAfter {
+		return
+	}
 	m.config.Relay.Lost()
-	if m.storeLost || m.Age() < outageAfter {
+	if m.storeLost {
 		return
 	}
 	m.storeLost = true
