Set in one place whether the store answered last, and wrap two comments

Behaviour is unchanged. Format, vet and staticcheck are clean; tests of mirror (5 times), topology, gossip, fleet, relay and membership pass.

--- a/gossip/worker.go
+++ b/gossip/worker.go
@@ -234,8 +234,8 @@
 }
 
 // compareLoop compares the whole state with a random peer in each interval. The first comparison is made as soon as a
-// peer is known, and repeated until it succeeds, so that a starting VM learns the members at once; a random wait then spreads the comparisons of the VMs
-// over the interval.
+// peer is known, and repeated until it succeeds, so that a starting VM learns the members at once; a random wait then spreads
+// the comparisons of the VMs over the interval.
 func (g *Gossip) compareLoop(ctx context.Context) {
 	wait, joined := g.options.PingTimeout, false
 	for {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -236,8 +236,8 @@
 			s.wait = max(s.wait-m.Age(), minWait)
 		}
 		b, err := m.fetch(ctx, s, canWatch)
-		if s.peer == nil {
-			m.storeAnswers = err == nil
+		if s.peer == nil || err == nil {
+			m.storeAnswers = s.peer == nil && err == nil
 		}
 		switch {
 		case ctx.Err() != nil:
@@ -246,7 +246,6 @@
 			// The call was interrupted.
 		case err == nil:
 			pause.Reset()
-			m.storeAnswers = s.peer == nil
 			canWatch, storeOnly, watchBroken = true, false, false
 			if len(b.Entries) > 0 {
 				m.pauseAfterChanges(ctx, s.peer == nil)
--- a/topology/place.go
+++ b/topology/place.go
@@ -57,8 +57,9 @@
 	LacksRelay bool
 }
 
-// New returns the place of the VM self in a fleet with the relays and the number of VMs, which is 0 if it isn't known. The order of the relays depends on
-// their link rates and names only, so that all VMs agree on the watcher also right after all of them have restarted.
+// New returns the place of the VM self in a fleet with the relays and the number of VMs, which is 0 if it isn't known. The
+// order of the relays depends on their link rates and names only, so that all VMs agree on the watcher also right after all of
+// them have restarted.
 func New(self fleet.VM, relays []fleet.VM, vms int) Place {
 	order := slices.Clone(relays)
 	slices.SortFunc(order, compare)
