Record and log what upstreams state about themselves

An upstream may state a limit of requests, that it leaves, and a time in which it wants no requests. Package notice holds them by incarnation of the upstream, with their age, and logs when each begins and ends; the lines of requests name the limit of each attempt, and a gauge counts the upstreams by kind of notice. Nothing is decided by them yet.

An unreadable statement changes nothing and is logged. Of repeated limits the lowest counts. Statements with status 421 are those of another upstream and are dropped.

--- a/exchange/answer.go
+++ b/exchange/answer.go
@@ -42,7 +42,7 @@
 		return unknown(Mismatched, outcome.Mismatched, "answer is not the upstream's own")
 	}
 	var res Result
-	a.dialect.Report(resp.Header, &res)
+	a.dialect.Report(resp, &res)
 	reason, refused := a.dialect.Refusal(resp)
 	if refused {
 		res.Class = Refused
@@ -99,7 +99,8 @@
 }
 
 // readReport reads the load and the state of the upstream from the headers into the result.
-func readReport(h http.Header, res *Result) {
+func readReport(resp *http.Response, res *Result) {
+	h := resp.Header
 	if v := h[header.Load]; len(v) == 1 {
 		res.Load, res.HasLoad = ParseLoad(v[0])
 	}
--- a/exchange/dialect.go
+++ b/exchange/dialect.go
@@ -27,8 +27,8 @@
 	MaxMismatched int
 	// EndToEnd returns the headers without those that apply to one hop only.
 	EndToEnd func(http.Header) http.Header
-	// Report reads load and state from the headers of an answer into the result.
-	Report func(http.Header, *Result)
+	// Report reads what the upstream states about itself in an answer into the result.
+	Report func(*http.Response, *Result)
 	// Refusal reports whether the answer states that the request did not run, and why.
 	Refusal func(*http.Response) (outcome.Reason, bool)
 	// IsAltered reports whether the answer differs from the one that the upstream produced.
--- a/exchange/endless_test.go
+++ b/exchange/endless_test.go
@@ -517,7 +517,7 @@
 var lenient = func() exchange.Dialect {
 	return exchange.Dialect{
 		RequestID: "Fulmarhitch-Request-Id", Deadline: "Fulmarhitch-Deadline-Ms", AllowCloseDelimited: true, MaxMismatched: 2, Verbatim: true,
-		EndToEnd: func(h http.Header) http.Header { return h }, Report: func(http.Header, *exchange.Result) {},
+		EndToEnd: func(h http.Header) http.Header { return h }, Report: func(*http.Response, *exchange.Result) {},
 		Refusal:   func(*http.Response) (outcome.Reason, bool) { return "", false },
 		IsAltered: func(*http.Response) bool { return false },
 	}
--- a/exchange/result.go
+++ b/exchange/result.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"github.com/fulmarhitch/fulmarhitch/notice"
 	"github.com/fulmarhitch/fulmarhitch/outcome"
 )
 
@@ -42,6 +43,8 @@
 	State State
 	// Upstream is the identifier that the upstream reported for itself, or empty.
 	Upstream string
+	// Notice is what else the upstream stated about itself.
+	Notice notice.Notice
 }
 
 func unsent(reason outcome.Reason, detail string) Result {
--- a/forwarder/config.go
+++ b/forwarder/config.go
@@ -7,6 +7,7 @@
 	"github.com/fulmarhitch/fulmarhitch/condition"
 	"github.com/fulmarhitch/fulmarhitch/declaration"
 	"github.com/fulmarhitch/fulmarhitch/exchange"
+	"github.com/fulmarhitch/fulmarhitch/notice"
 	"github.com/fulmarhitch/fulmarhitch/request"
 	"github.com/fulmarhitch/fulmarhitch/roster"
 )
@@ -28,6 +29,8 @@
 	// Roster and Conditions hold the upstreams and their observed conditions.
 	Roster     *roster.Roster
 	Conditions *condition.Table
+	// Notices holds what the upstreams state about themselves.
+	Notices *notice.Table
 	// Transport sends requests to the upstreams, and Sampler polls them.
 	Transport Transport
 	Sampler   Sampler
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -241,9 +241,11 @@
 	now := time.Now()
 	up := c.Upstream
 	index := len(r.attempts)
+	stated := r.config.Notices.Get(up, now)
 	r.attempts = append(r.attempts, Attempt{
 		Upstream: up, Near: c.Near, Load: c.Condition.Load, LoadAge: c.Condition.Age, FailureRate: c.Condition.FailureRate,
 		Cost: c.cost, Started: now.Sub(r.job.Arrived), Hedge: hedge,
+		Limit: stated.Limit, HasLimit: stated.HasLimit && stated.LimitEnded == 0,
 		expectedTime: c.expectedTime,
 	})
 	r.inFlight++
@@ -280,6 +282,9 @@
 	case exchange.Cancelled:
 	}
 	r.config.Conditions.End(up.ID, failed, now)
+	if res.Class == exchange.Answered || res.Class == exchange.Refused {
+		r.config.Notices.Record(up, res.Notice, now)
+	}
 	if res.HasLoad {
 		r.config.Conditions.Report(up.ID, res.Load, true, now)
 	}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -10,10 +11,13 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/fulmarhitch/fulmarhitch/condition"
 	"github.com/fulmarhitch/fulmarhitch/declaration"
 	"github.com/fulmarhitch/fulmarhitch/exchange"
 	"github.com/fulmarhitch/fulmarhitch/forwarder"
+	"github.com/fulmarhitch/fulmarhitch/notice"
 	"github.com/fulmarhitch/fulmarhitch/outcome"
 	"github.com/fulmarhitch/fulmarhitch/request"
 	"github.com/fulmarhitch/fulmarhitch/roster"
@@ -27,6 +31,7 @@
 	// arrivals counts the attempts of each request.
 	arrivals map[string]int
 	table    *condition.Table
+	notices  *notice.Table
 	random   *rand.Rand
 }
 
@@ -41,12 +46,18 @@
 	loseAnswers bool
 }
 
+func discardLogger() *logrus.Entry {
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	return logrus.NewEntry(l)
+}
+
 // queueLimit is the maximum length of an upstream's own queue.
 const queueLimit = 12
 
 func newService(n, slots int) (*service, *roster.Roster) {
 	s := &service{
-		ups: make(map[string]*upstream), arrivals: make(map[string]int), table: condition.New(), random: rand.New(rand.NewPCG(1, 2)),
+		ups: make(map[string]*upstream), arrivals: make(map[string]int), table: condition.New(), notices: notice.New(discardLogger()), random: rand.New(rand.NewPCG(1, 2)),
 	}
 	r := roster.New()
 	for i := range n {
@@ -147,7 +158,7 @@
 	retries := forwarder.NewRetries(0.2)
 	retries.SetBurst(5)
 	f := forwarder.New(forwarder.Config{
-		VM: "vm", FailureDomain: "near", Roster: r, Conditions: s.table, Transport: s, Sampler: s, Retries: retries,
+		VM: "vm", FailureDomain: "near", Roster: r, Conditions: s.table, Notices: s.notices, Transport: s, Sampler: s, Retries: retries,
 		Times: forwarder.NewTimes(), Pressure: forwarder.NewPressure(),
 	})
 	tallies := map[*ruleset.Rule]*tally{urgent: {}, plain: {}}
@@ -302,7 +313,7 @@
 				}
 				pressure := forwarder.NewPressure()
 				f := forwarder.New(forwarder.Config{
-					FailureDomain: "near", Roster: r, Conditions: s.table, Transport: s, Sampler: s, Retries: forwarder.NewRetries(0),
+					FailureDomain: "near", Roster: r, Conditions: s.table, Notices: s.notices, Transport: s, Sampler: s, Retries: forwarder.NewRetries(0),
 					Times: forwarder.NewTimes(), Pressure: pressure,
 				})
 				start := time.Now()
@@ -347,7 +358,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			s, r := newService(1, 3)
 			f := forwarder.New(forwarder.Config{
-				FailureDomain: "near", Roster: r, Conditions: s.table, Transport: s, Sampler: s, Retries: forwarder.NewRetries(0),
+				FailureDomain: "near", Roster: r, Conditions: s.table, Notices: s.notices, Transport: s, Sampler: s, Retries: forwarder.NewRetries(0),
 				Times: forwarder.NewTimes(), Pressure: forwarder.NewPressure(),
 			})
 			ctx, cancel := context.WithCancel(context.Background())
@@ -474,7 +485,7 @@
 					retries.Earn("s")
 				}
 				f := forwarder.New(forwarder.Config{
-					FailureDomain: "near", Roster: r, Conditions: s.table, Transport: s, Retries: retries, Times: forwarder.NewTimes(),
+					FailureDomain: "near", Roster: r, Conditions: s.table, Notices: s.notices, Transport: s, Retries: retries, Times: forwarder.NewTimes(),
 					Sampler: &leavingSampler{service: s, during: tt.during, leave: leave}, Pressure: forwarder.NewPressure(),
 				})
 				work := 10
--- a/forwarder/job.go
+++ b/forwarder/job.go
@@ -27,7 +27,10 @@
 	Load        exchange.Load
 	LoadAge     time.Duration
 	FailureRate float64
-	Cost        float64
+	// Limit is the limit of requests per second that the upstream stated; it is valid if HasLimit is true.
+	Limit    float64
+	HasLimit bool
+	Cost     float64
 	// Started is the time from the request's arrival to the attempt; Took is the attempt's duration, or 0 while it runs.
 	Started, Took time.Duration
 	// Class is the class of the result, or empty while the attempt runs.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/fulmarhitch/fulmarhitch/kernel"
 	"github.com/fulmarhitch/fulmarhitch/membership"
 	"github.com/fulmarhitch/fulmarhitch/mirror"
+	"github.com/fulmarhitch/fulmarhitch/notice"
 	"github.com/fulmarhitch/fulmarhitch/presence"
 	"github.com/fulmarhitch/fulmarhitch/quarantine"
 	"github.com/fulmarhitch/fulmarhitch/registration"
@@ -75,6 +76,7 @@
 	roster       *roster.Roster
 	fleet        *fleet.Fleet
 	conditions   *condition.Table
+	notices      *notice.Table
 	splitter     *split.Splitter
 	retries      *forwarder.Retries
 	bodies       *buffer.Budget
@@ -108,6 +110,7 @@
 	}
 	g.settings.Store(s)
 	g.log = g.logWriter.Entry(logrus.Fields{"vm": s.Name, "failure-domain": s.FailureDomain})
+	g.notices = notice.New(g.log)
 	l, err := listen(s)
 	if err != nil {
 		g.log.WithError(err).Error("failed to open the listeners; process ends")
@@ -164,7 +167,7 @@
 		g.log.WithFields(logrus.Fields{"request": request, "bytes": size, "limit": s.BodyBytes()}).Warn("memory for bodies is used up; largest unfinished body cut off")
 	})
 	g.exchanger = exchange.NewWithDialect(g.connectionShare, g.config.UpstreamDialect, g.bodies)
-	g.sampler = sampler.New(g.exchanger, g.conditions, g.pollShare)
+	g.sampler = sampler.New(g.exchanger, g.conditions, g.notices, g.pollShare)
 	g.crashGuard = crash.New(g.config.Store, g.log)
 	g.mirror = mirror.New(mirror.Config{
 		Store: g.config.Store, Decode: g.config.Decode, Sources: g.membership.Sources, Discover: g.membership.Discover,
@@ -176,7 +179,7 @@
 	g.ingress = ingress.New(l.callers, ingress.Config{
 		Dialect: g.config.CallerDialect,
 		Forwarder: forwarder.New(forwarder.Config{
-			VM: s.Name, FailureDomain: s.FailureDomain, Roster: g.roster, Conditions: g.conditions, Transport: g.exchanger,
+			VM: s.Name, FailureDomain: s.FailureDomain, Roster: g.roster, Conditions: g.conditions, Notices: g.notices, Transport: g.exchanger,
 			Sampler: g.sampler, Retries: g.retries, Times: forwarder.NewTimes(),
 			Pressure: forwarder.NewPressure(), Quarantine: g.crashGuard,
 		}),
@@ -218,6 +221,7 @@
 		VMs:        func() float64 { return float64(len(g.fleet.List())) },
 		Polls:      func() float64 { return float64(g.sampler.Polls()) },
 		StoreCalls: g.config.Store.Calls,
+		Notices:    g.notices.Counts,
 		BodyBytes:  func() float64 { return float64(g.bodies.Used()) },
 		Evictions:  func() float64 { return float64(g.bodies.Evictions()) },
 		LogDropped: func() float64 { return float64(g.logWriter.Dropped()) },
--- a/gateway/housekeeping.go
+++ b/gateway/housekeeping.go
@@ -41,6 +41,7 @@
 			g.fleet.Expire(now)
 			g.membership.Update(now)
 			g.conditions.Expire(now)
+			g.notices.Expire(g.roster.Has, now)
 			g.sampler.Retain(g.roster.Has)
 			g.divideLimits()
 		case <-hangup:
--- a/ingress/handle.go
+++ b/ingress/handle.go
@@ -280,12 +280,16 @@
 func attemptFields(all []forwarder.Attempt) []map[string]any {
 	var list []map[string]any
 	for _, a := range all {
-		list = append(list, map[string]any{
+		fields := map[string]any{
 			"upstream": a.Upstream.ID, "near": a.Near, "at-ms": a.Started.Milliseconds(), "took-ms": a.Took.Milliseconds(),
 			"end": string(a.Class), "status": a.Status, "hedge": a.Hedge, "cost": float64(int(a.Cost*100)) / 100,
 			"running": a.Load.Running, "waiting": a.Load.Waiting, "slots": a.Load.Slots, "slowdown": a.Load.Slowdown,
 			"report-age-ms": a.LoadAge.Milliseconds(), "failing": float64(int(a.FailureRate*100)) / 100,
-		})
+		}
+		if a.HasLimit {
+			fields["limit"] = a.Limit
+		}
+		list = append(list, fields)
 	}
 	return list
 }
--- /dev/null
+++ b/notice/table_test.go
@@ -0,0 +1,101 @@
+package notice_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fulmarhitch/fulmarhitch/notice"
+	"github.com/fulmarhitch/fulmarhitch/roster"
+)
+
+var (
+	start = time.Unix(100, 0)
+	first = roster.Upstream{ID: "u", Service: "s", StartedMS: 1}
+	next  = roster.Upstream{ID: "u", Service: "s", StartedMS: 2}
+)
+
+// at is a notice and the time after start at which it is recorded.
+type at struct {
+	after    time.Duration
+	upstream roster.Upstream
+	notice   notice.Notice
+}
+
+// TestTable guards against a notice that is forgotten while it holds, that holds for another incarnation of the upstream, or that
+// goes without a line in the log.
+func TestTable(t *testing.T) {
+	limited := func(limit float64) notice.Notice { return notice.Notice{Limit: limit, HasLimit: true} }
+	unreadable := notice.Notice{LimitErr: errors.New("bad limit")}
+	tests := map[string]struct {
+		records []at
+		// after is the time at which the state of the upstream is looked at.
+		after    time.Duration
+		upstream roster.Upstream
+		want     notice.State
+		wantLog  []string
+	}{
+		"no notice": {[]at{{0, first, notice.Notice{}}}, 0, first, notice.State{}, nil},
+		"a limit": {
+			[]at{{0, first, limited(2)}, {time.Second, first, limited(2)}}, 3 * time.Second, first,
+			notice.State{Limit: 2, HasLimit: true, LimitAge: 2 * time.Second}, []string{"states a limit"},
+		},
+		"a changed limit": {
+			[]at{{0, first, limited(2)}, {0, first, limited(3)}}, 0, first,
+			notice.State{Limit: 3, HasLimit: true}, []string{"states a limit", "states a limit"},
+		},
+		"an ended limit": {
+			[]at{{0, first, limited(2)}, {time.Second, first, notice.Notice{}}, {2 * time.Second, first, notice.Notice{}}}, 2 * time.Second, first,
+			notice.State{Limit: 2, HasLimit: true, LimitAge: 2 * time.Second, LimitEnded: time.Second}, []string{"states a limit", "no longer"},
+		},
+		"a limit ended long ago": {
+			[]at{{0, first, limited(2)}, {time.Second, first, notice.Notice{}}}, 7 * time.Second, first,
+			notice.State{}, []string{"states a limit", "no longer"},
+		},
+		"an unreadable limit": {
+			[]at{{0, first, limited(2)}, {time.Second, first, unreadable}, {time.Second, first, unreadable}}, time.Second, first,
+			notice.State{Limit: 2, HasLimit: true, LimitAge: time.Second}, []string{"states a limit", "cannot read"},
+		},
+		"a limit of an earlier incarnation": {[]at{{0, first, limited(2)}}, 0, next, notice.State{}, []string{"states a limit"}},
+		"a late answer of an earlier incarnation": {
+			[]at{{0, next, limited(2)}, {0, first, limited(3)}}, 0, next,
+			notice.State{Limit: 2, HasLimit: true}, []string{"states a limit"},
+		},
+		"leaving": {
+			[]at{{0, first, notice.Notice{Leaving: true}}, {time.Second, first, notice.Notice{}}}, time.Minute, first,
+			notice.State{Leaving: true}, []string{"leaves"},
+		},
+		"a pause": {
+			[]at{{0, first, notice.Notice{RetryAfter: 2 * time.Second}}, {time.Second, first, notice.Notice{RetryAfter: 100 * time.Millisecond}}}, time.Second, first,
+			notice.State{PausedFor: time.Second}, []string{"wants no requests"},
+		},
+		"an ended pause": {
+			[]at{{0, first, notice.Notice{RetryAfter: time.Second}}}, time.Second, first,
+			notice.State{}, []string{"wants no requests", "takes requests again"},
+		},
+	}
+	for name, tt := range tests {
+		Convey("Given "+name, t, func() {
+			logger, hook := test.NewNullLogger()
+			table := notice.New(logrus.NewEntry(logger))
+			for _, r := range tt.records {
+				table.Record(r.upstream, r.notice, start.Add(r.after))
+			}
+			now := start.Add(tt.after)
+			table.Expire(func(string) bool { return true }, now)
+			So(table.Get(tt.upstream, now), ShouldResemble, tt.want)
+			So(hook.AllEntries(), ShouldHaveLength, len(tt.wantLog))
+			for i, e := range hook.AllEntries() {
+				So(strings.Contains(e.Message, tt.wantLog[i]), ShouldBeTrue)
+				So(e.Data["upstream"], ShouldEqual, "u")
+			}
+			table.Expire(func(string) bool { return false }, now)
+			So(table.Get(tt.upstream, now), ShouldResemble, notice.State{})
+		})
+	}
+}
--- a/sampler/sampler.go
+++ b/sampler/sampler.go
@@ -11,6 +11,7 @@
 	"github.com/fulmarhitch/fulmarhitch/condition"
 	"github.com/fulmarhitch/fulmarhitch/declaration"
 	"github.com/fulmarhitch/fulmarhitch/exchange"
+	"github.com/fulmarhitch/fulmarhitch/notice"
 	"github.com/fulmarhitch/fulmarhitch/outcome"
 	"github.com/fulmarhitch/fulmarhitch/request"
 	"github.com/fulmarhitch/fulmarhitch/roster"
@@ -35,6 +36,7 @@
 type Sampler struct {
 	poller     Poller
 	conditions *condition.Table
+	notices    *notice.Table
 	// limit returns the number of polls that this VM may send to the upstream per second.
 	limit func(u roster.Upstream) float64
 
@@ -50,8 +52,8 @@
 }
 
 // New returns a sampler. The function limit returns the number of polls that this VM may send to the upstream per second.
-func New(poller Poller, conditions *condition.Table, limit func(u roster.Upstream) float64) *Sampler {
-	return &Sampler{poller: poller, conditions: conditions, limit: limit, limiters: make(map[string]*limiter)}
+func New(poller Poller, conditions *condition.Table, notices *notice.Table, limit func(u roster.Upstream) float64) *Sampler {
+	return &Sampler{poller: poller, conditions: conditions, notices: notices, limit: limit, limiters: make(map[string]*limiter)}
 }
 
 // burst returns the number of polls that may be sent at once under a limit per second.
@@ -112,10 +114,14 @@
 			s.conditions.RecordUnreachable(u.ID, now)
 			return
 		}
+		s.notices.Record(u, res.Notice, now)
 		if res.HasLoad {
 			s.conditions.Report(u.ID, res.Load, out.Status == http.StatusOK, now)
 		}
 	case outcome.NotRun:
+		if res.Class == exchange.Refused {
+			s.notices.Record(u, res.Notice, now)
+		}
 		if res.HasLoad && res.Class == exchange.Refused {
 			s.conditions.Report(u.ID, res.Load, false, now)
 			return
--- a/sampler/sampler_test.go
+++ b/sampler/sampler_test.go
@@ -7,9 +7,12 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/fulmarhitch/fulmarhitch/condition"
 	"github.com/fulmarhitch/fulmarhitch/declaration"
 	"github.com/fulmarhitch/fulmarhitch/exchange"
+	"github.com/fulmarhitch/fulmarhitch/notice"
 	"github.com/fulmarhitch/fulmarhitch/outcome"
 	"github.com/fulmarhitch/fulmarhitch/request"
 	"github.com/fulmarhitch/fulmarhitch/roster"
@@ -33,7 +36,7 @@
 func TestLimits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p, limit := &poller{}, 2.0
-		s := sampler.New(p, condition.New(), func(roster.Upstream) float64 { return limit })
+		s := sampler.New(p, condition.New(), notice.New(logrus.NewEntry(logrus.New())), func(roster.Upstream) float64 { return limit })
 		up := []roster.Upstream{{ID: "u", Service: "s"}}
 		poll := func(duration time.Duration) int64 {
 			before := p.polls.Load()
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -30,6 +30,8 @@
 	Position func() (era, revision float64)
 	// StoreCalls returns the calls of the store by purpose.
 	StoreCalls func() map[string]uint64
+	// Notices returns the numbers of upstreams for which a notice holds, by its kind. It may be nil.
+	Notices func() map[string]uint64
 }
 
 // Metrics are the metrics of one process. Its methods are safe for concurrent use.
@@ -59,7 +61,10 @@
 		Namespace: namespace, Name: "idle_closes_total", Help: "Connections of callers that were closed because they were idle.",
 	})
 	m.registry.MustRegister(m.durations, m.requests, m.attempts, m.refusals, m.hedges, m.idleCloses)
-	m.registry.MustRegister(storeCalls(s.StoreCalls))
+	m.registry.MustRegister(labelled{storeCallsDesc, prometheus.CounterValue, s.StoreCalls})
+	if s.Notices != nil {
+		m.registry.MustRegister(labelled{noticesDesc, prometheus.GaugeValue, s.Notices})
+	}
 	m.registerFunc("rules_version", "Version of the rules in force.", s.RulesVersion)
 	m.registerFunc("store_age_seconds", "Time since the store was last heard.", s.StoreAge)
 	if s.Position != nil {
@@ -75,18 +80,25 @@
 	return m
 }
 
-// storeCalls collects the numbers of calls of the store.
-type storeCalls func() map[string]uint64
+// labelled collects numbers with one label.
+type labelled struct {
+	desc   *prometheus.Desc
+	kind   prometheus.ValueType
+	values func() map[string]uint64
+}
 
-var storeCallsDesc = prometheus.NewDesc(namespace+"_store_calls_total", "Calls of the store by purpose.", []string{"purpose"}, nil)
+var (
+	storeCallsDesc = prometheus.NewDesc(namespace+"_store_calls_total", "Calls of the store by purpose.", []string{"purpose"}, nil)
+	noticesDesc    = prometheus.NewDesc(namespace+"_upstream_notices", "Upstreams for which a notice of their own holds, by its kind.", []string{"kind"}, nil)
+)
 
 // Describe sends the description of the metric.
-func (storeCalls) Describe(ch chan<- *prometheus.Desc) { ch <- storeCallsDesc }
+func (l labelled) Describe(ch chan<- *prometheus.Desc) { ch <- l.desc }
 
 // Collect sends the present values.
-func (c storeCalls) Collect(ch chan<- prometheus.Metric) {
-	for purpose, n := range c() {
-		ch <- prometheus.MustNewConstMetric(storeCallsDesc, prometheus.CounterValue, float64(n), purpose)
+func (l labelled) Collect(ch chan<- prometheus.Metric) {
+	for label, n := range l.values() {
+		ch <- prometheus.MustNewConstMetric(l.desc, l.kind, float64(n), label)
 	}
 }
 
