Divide the limit of an upstream among a few VMs

Callers saw nothing; upstreams in need got two to four times the requests that they had said they take. No VM decided by the limit, and each sees only its own part of the requests (TestFleetLimit failed at 14, 97, 472 and 3,000 VMs before).

A VM polls an upstream just before it chooses it, and health answers state the limit too, so that a VM knows it before it sends. Package quota then lets only some VMs of the upstream's failure domain send, 1.2 for each request per second of the limit and one at least, in the order of rendezvous hashing, so that they need not agree. Each has an equal part of the rate and saves up one request. A VM that doesn't know the fleet, or that is new among them, has saved up none. Upstreams without a quota left are no candidates, a quota bounds the free slots that selection sees, and if none is left a request waits for the next one if that is in time, or is refused at once with the time to return. One upstream whose limit was not confirmed for a second is polled with each choice; after a limit has ended, the rate doubles each 0.5 s.

The same place bounds what goes to upstreams that leave, or that want no requests for a time: they are neither sent requests nor polled.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -204,6 +204,18 @@
 	return f.list
 }
 
+// Settled is like List, but returns no VMs while many may be missing: before the VMs have listed themselves, and until the list has
+// half of the size that the store states.
+func (f *Fleet) Settled() []VM {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rebuild()
+	if len(f.present) == 0 || 2*len(f.list) < f.storedSize {
+		return nil
+	}
+	return f.list
+}
+
 // Relays returns the VMs that are registered in the store in no particular order. The caller must not change the slice.
 func (f *Fleet) Relays() []VM {
 	f.mu.Lock()
--- a/forwarder/choose.go
+++ b/forwarder/choose.go
@@ -7,10 +7,9 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/fulmarhitch/fulmarhitch/backoff"
 	"github.com/fulmarhitch/fulmarhitch/outcome"
+	"github.com/fulmarhitch/fulmarhitch/quota"
 	"github.com/fulmarhitch/fulmarhitch/roster"
 	"github.com/fulmarhitch/fulmarhitch/selection"
 )
@@ -77,7 +76,7 @@
 			return waited+time.Duration(c.expectedTime*float64(usual)) <= target && r.mayTakeSlot(c)
 		}
 		if c != nil && !isTimely(c) {
-			if free := r.cheapestFree(isTimely); free != nil {
+			if free := r.cheapestFree(isTimely); free != nil && r.takeQuota(free) {
 				// The better slots are left to the more urgent requests all the same.
 				r.config.Pressure.Add(r.job.Request.Service, r.job.Rule.Priority, time.Now())
 				return free, nil
@@ -85,13 +84,17 @@
 		}
 		isKnown := len(r.config.Roster.Usable(r.job.Request.Service)) > 0
 		switch {
+		case c == nil && r.blocked.isAll && (late || waited+r.blocked.wait+usual > target):
+			// More urgent requests get what becomes free.
+			r.config.Pressure.Add(r.job.Request.Service, r.job.Rule.Priority, time.Now())
+			return nil, outcome.NotRun{Reason: outcome.Limited, RetryAfter: r.blocked.retryAfter()}
 		case c == nil && (late || !isKnown):
 			return nil, outcome.NotRun{Reason: outcome.NoUpstream}
 		case c == nil:
-		case isTimely(c):
-			return c, nil
-		case late && selection.FreeSlots(c.Candidate) > 0:
-			return c, nil
+		case isTimely(c) || late && selection.FreeSlots(c.Candidate) > 0:
+			if r.takeQuota(c) {
+				return c, nil
+			}
 		case late:
 			return nil, outcome.NotRun{Reason: outcome.QueueFull}
 		}
@@ -138,8 +141,8 @@
 func (r *run) choose(mayUseFar bool) *choice {
 	near, far := r.candidates()
 	r.sampled = r.sampled[:0]
-	best := r.improve(nil, r.subset(near), true, nearPollWait)
-	if mayUseFar && (best == nil || best.cost > acceptableCost) {
+	best := r.improve(nil, near, true, nearPollWait)
+	if len(near.open) == 0 || mayUseFar && (best == nil || best.cost > acceptableCost) {
 		best = r.improve(best, far, false, farPollWait)
 	}
 	return best
@@ -158,7 +161,7 @@
 	}
 	list := make([]ranked, len(all))
 	for i, u := range all {
-		list[i] = ranked{u, xxhash.Sum64String(r.config.VM + " " + u.ID)}
+		list[i] = ranked{u, quota.Weight(r.config.VM, u.ID)}
 	}
 	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(a.hash, b.hash) })
 	preferred := make([]roster.Upstream, SubsetSize)
@@ -168,32 +171,55 @@
 	return preferred
 }
 
-// candidates returns the service's upstreams that have not been tried yet: those of the VM's own failure domain and the
-// others.
-func (r *run) candidates() (near, far []roster.Upstream) {
+// place holds the upstreams of a place that have not been tried yet.
+type place struct {
+	// open are those that the request may be sent to, and limited those that may not get it but should be polled, as their
+	// limit may have ended.
+	open, limited []roster.Upstream
+}
+
+// candidates returns the service's upstreams in the VM's own failure domain and in the others, and sets blocked.
+func (r *run) candidates() (near, far place) {
+	now := time.Now()
+	r.blocked = blockage{wait: quota.Never}
 	for _, u := range r.config.Roster.Usable(r.job.Request.Service) {
-		tried := slices.ContainsFunc(r.attempts, func(a Attempt) bool { return a.Upstream.ID == u.ID })
-		switch {
-		case tried:
-		case u.FailureDomain == r.config.FailureDomain:
-			near = append(near, u)
-		default:
-			far = append(far, u)
+		if slices.ContainsFunc(r.attempts, func(a Attempt) bool { return a.Upstream.ID == u.ID }) {
+			continue
+		}
+		p := &far
+		if u.FailureDomain == r.config.FailureDomain {
+			p = &near
+		}
+		permit := r.config.Quotas.Check(u, now)
+		if permit.Requests > 0 {
+			p.open = append(p.open, u)
+			continue
+		}
+		r.blocked.add(permit)
+		if permit.PollDue {
+			p.limited = append(p.limited, u)
 		}
 	}
+	r.blocked.isAll = len(near.open)+len(far.open) == 0 && r.blocked.count > 0
+	near.open, near.limited = r.subset(near.open), r.subset(near.limited)
 	return near, far
 }
 
 // improve polls a sample of the upstreams and returns the cheapest of them, or current if that is at least as cheap.
-func (r *run) improve(current *choice, all []roster.Upstream, near bool, maxWait time.Duration) *choice {
-	sampled := r.sample(all, near)
+func (r *run) improve(current *choice, all place, near bool, maxWait time.Duration) *choice {
+	sampled := r.sample(all.open, near)
+	if n := len(all.limited); n > 0 {
+		sampled = append(sampled, all.limited[rand.IntN(n)])
+	}
 	if remaining := time.Until(r.job.Request.Deadline); remaining < maxWait {
 		maxWait = max(remaining, 0)
 	}
 	r.config.Sampler.Poll(sampled, r.job.HealthPath, maxWait)
-	// An upstream may have been removed during the poll.
-	sampled = slices.DeleteFunc(sampled, func(u roster.Upstream) bool { return !r.config.Roster.IsUsable(u) })
 	now := time.Now()
+	// An upstream may have been removed, or may have stated a limit, during the poll.
+	sampled = slices.DeleteFunc(sampled, func(u roster.Upstream) bool {
+		return !r.config.Roster.IsUsable(u) || r.config.Quotas.Check(u, now).Requests == 0
+	})
 	list := r.withConditions(sampled, near, now)
 	r.sampled = append(r.sampled, list...)
 	i, cost := selection.Best(list, now)
@@ -207,7 +233,11 @@
 func (r *run) withConditions(ups []roster.Upstream, near bool, now time.Time) []selection.Candidate {
 	list := make([]selection.Candidate, len(ups))
 	for i, u := range ups {
-		list[i] = selection.Candidate{Upstream: u, Condition: r.config.Conditions.Get(u.ID, now), Near: near}
+		permit := r.config.Quotas.Check(u, now)
+		list[i] = selection.Candidate{
+			Upstream: u, Condition: r.config.Conditions.Get(u.ID, now), Near: near,
+			Quota: permit.Requests, HasQuota: permit.Requests != quota.Unlimited,
+		}
 	}
 	return list
 }
--- a/forwarder/config.go
+++ b/forwarder/config.go
@@ -8,6 +8,7 @@
 	"github.com/fulmarhitch/fulmarhitch/declaration"
 	"github.com/fulmarhitch/fulmarhitch/exchange"
 	"github.com/fulmarhitch/fulmarhitch/notice"
+	"github.com/fulmarhitch/fulmarhitch/quota"
 	"github.com/fulmarhitch/fulmarhitch/request"
 	"github.com/fulmarhitch/fulmarhitch/roster"
 )
@@ -31,6 +32,8 @@
 	Conditions *condition.Table
 	// Notices holds what the upstreams state about themselves.
 	Notices *notice.Table
+	// Quotas bounds what this VM sends to upstreams by what they state.
+	Quotas *quota.Keeper
 	// Transport sends requests to the upstreams, and Sampler polls them.
 	Transport Transport
 	Sampler   Sampler
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -49,6 +49,8 @@
 	attempts []Attempt
 	// sampled holds the candidates among which the latest choice was made.
 	sampled []selection.Candidate
+	// blocked is what keeps this VM from sending to the upstreams without a quota at present.
+	blocked blockage
 	// inFlight is the number of attempts in progress.
 	inFlight int
 	results  chan attemptResult
@@ -164,7 +166,7 @@
 // retry sends the request again after a failed attempt, if an upstream has a free slot and the budget allows it.
 func (r *run) retry() {
 	c := r.choose(true)
-	if c != nil && !r.hasLeft() && selection.FreeSlots(c.Candidate) > 0 && r.config.Retries.Spend(r.job.Request.Service, false) {
+	if c != nil && !r.hasLeft() && selection.FreeSlots(c.Candidate) > 0 && r.config.Retries.Spend(r.job.Request.Service, false) && r.takeQuota(c) {
 		r.send(c, false)
 	}
 }
@@ -231,7 +233,7 @@
 	if expected > r.job.Rule.Target {
 		return
 	}
-	if r.config.Retries.Spend(r.job.Request.Service, true) {
+	if r.config.Retries.Spend(r.job.Request.Service, true) && r.takeQuota(c) {
 		r.send(c, true)
 	}
 }
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -19,6 +19,7 @@
 	"github.com/fulmarhitch/fulmarhitch/forwarder"
 	"github.com/fulmarhitch/fulmarhitch/notice"
 	"github.com/fulmarhitch/fulmarhitch/outcome"
+	"github.com/fulmarhitch/fulmarhitch/quota"
 	"github.com/fulmarhitch/fulmarhitch/request"
 	"github.com/fulmarhitch/fulmarhitch/roster"
 	"github.com/fulmarhitch/fulmarhitch/ruleset"
@@ -158,7 +159,7 @@
 	retries := forwarder.NewRetries(0.2)
 	retries.SetBurst(5)
 	f := forwarder.New(forwarder.Config{
-		VM: "vm", FailureDomain: "near", Roster: r, Conditions: s.table, Notices: s.notices, Transport: s, Sampler: s, Retries: retries,
+		VM: "vm", FailureDomain: "near", Roster: r, Conditions: s.table, Notices: s.notices, Quotas: quota.New("vm", s.notices), Transport: s, Sampler: s, Retries: retries,
 		Times: forwarder.NewTimes(), Pressure: forwarder.NewPressure(),
 	})
 	tallies := map[*ruleset.Rule]*tally{urgent: {}, plain: {}}
@@ -313,7 +314,7 @@
 				}
 				pressure := forwarder.NewPressure()
 				f := forwarder.New(forwarder.Config{
-					FailureDomain: "near", Roster: r, Conditions: s.table, Notices: s.notices, Transport: s, Sampler: s, Retries: forwarder.NewRetries(0),
+					FailureDomain: "near", Roster: r, Conditions: s.table, Notices: s.notices, Quotas: quota.New("vm", s.notices), Transport: s, Sampler: s, Retries: forwarder.NewRetries(0),
 					Times: forwarder.NewTimes(), Pressure: pressure,
 				})
 				start := time.Now()
@@ -358,7 +359,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			s, r := newService(1, 3)
 			f := forwarder.New(forwarder.Config{
-				FailureDomain: "near", Roster: r, Conditions: s.table, Notices: s.notices, Transport: s, Sampler: s, Retries: forwarder.NewRetries(0),
+				FailureDomain: "near", Roster: r, Conditions: s.table, Notices: s.notices, Quotas: quota.New("vm", s.notices), Transport: s, Sampler: s, Retries: forwarder.NewRetries(0),
 				Times: forwarder.NewTimes(), Pressure: forwarder.NewPressure(),
 			})
 			ctx, cancel := context.WithCancel(context.Background())
@@ -485,7 +486,7 @@
 					retries.Earn("s")
 				}
 				f := forwarder.New(forwarder.Config{
-					FailureDomain: "near", Roster: r, Conditions: s.table, Notices: s.notices, Transport: s, Retries: retries, Times: forwarder.NewTimes(),
+					FailureDomain: "near", Roster: r, Conditions: s.table, Notices: s.notices, Quotas: quota.New("vm", s.notices), Transport: s, Retries: retries, Times: forwarder.NewTimes(),
 					Sampler: &leavingSampler{service: s, during: tt.during, leave: leave}, Pressure: forwarder.NewPressure(),
 				})
 				work := 10
--- a/forwarder/limit_test.go
+++ b/forwarder/limit_test.go
@@ -13,9 +13,11 @@
 	"github.com/fulmarhitch/fulmarhitch/condition"
 	"github.com/fulmarhitch/fulmarhitch/declaration"
 	"github.com/fulmarhitch/fulmarhitch/exchange"
+	"github.com/fulmarhitch/fulmarhitch/fleet"
 	"github.com/fulmarhitch/fulmarhitch/forwarder"
 	"github.com/fulmarhitch/fulmarhitch/notice"
 	"github.com/fulmarhitch/fulmarhitch/outcome"
+	"github.com/fulmarhitch/fulmarhitch/quota"
 	"github.com/fulmarhitch/fulmarhitch/request"
 	"github.com/fulmarhitch/fulmarhitch/roster"
 	"github.com/fulmarhitch/fulmarhitch/ruleset"
@@ -174,12 +176,18 @@
 // startVMs returns the VMs of a fleet that serves the upstreams of the roster.
 func startVMs(s *limitedService, r *roster.Roster, n, domains int) []*limitedVM {
 	vms := make([]*limitedVM, n)
+	list := make([]fleet.VM, n)
+	for i := range list {
+		list[i] = fleet.VM{Name: fmt.Sprint("vm-", i), FailureDomain: fmt.Sprint("d", i%domains), Serving: true}
+	}
 	for i := range vms {
 		vm := &limitedVM{service: s, conditions: condition.New(), notices: notice.New(discardLogger())}
+		quotas := quota.New(list[i].Name, vm.notices)
+		quotas.SetVMs(list)
 		retries := forwarder.NewRetries(0.2)
 		retries.SetBurst(1)
 		vm.Forwarder = forwarder.New(forwarder.Config{
-			VM: fmt.Sprint("vm-", i), FailureDomain: fmt.Sprint("d", i%domains), Roster: r, Conditions: vm.conditions, Notices: vm.notices,
+			VM: list[i].Name, FailureDomain: list[i].FailureDomain, Roster: r, Conditions: vm.conditions, Notices: vm.notices, Quotas: quotas,
 			Transport: vm, Sampler: vm, Retries: retries, Times: forwarder.NewTimes(), Pressure: forwarder.NewPressure(),
 		})
 		vms[i] = vm
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,6 +30,7 @@
 	"github.com/fulmarhitch/fulmarhitch/notice"
 	"github.com/fulmarhitch/fulmarhitch/presence"
 	"github.com/fulmarhitch/fulmarhitch/quarantine"
+	"github.com/fulmarhitch/fulmarhitch/quota"
 	"github.com/fulmarhitch/fulmarhitch/registration"
 	"github.com/fulmarhitch/fulmarhitch/relay"
 	"github.com/fulmarhitch/fulmarhitch/roster"
@@ -77,6 +78,7 @@
 	fleet        *fleet.Fleet
 	conditions   *condition.Table
 	notices      *notice.Table
+	quotas       *quota.Keeper
 	splitter     *split.Splitter
 	retries      *forwarder.Retries
 	bodies       *buffer.Budget
@@ -111,6 +113,7 @@
 	g.settings.Store(s)
 	g.log = g.logWriter.Entry(logrus.Fields{"vm": s.Name, "failure-domain": s.FailureDomain})
 	g.notices = notice.New(g.log)
+	g.quotas = quota.New(s.Name, g.notices)
 	l, err := listen(s)
 	if err != nil {
 		g.log.WithError(err).Error("failed to open the listeners; process ends")
@@ -179,7 +182,7 @@
 	g.ingress = ingress.New(l.callers, ingress.Config{
 		Dialect: g.config.CallerDialect,
 		Forwarder: forwarder.New(forwarder.Config{
-			VM: s.Name, FailureDomain: s.FailureDomain, Roster: g.roster, Conditions: g.conditions, Notices: g.notices, Transport: g.exchanger,
+			VM: s.Name, FailureDomain: s.FailureDomain, Roster: g.roster, Conditions: g.conditions, Notices: g.notices, Quotas: g.quotas, Transport: g.exchanger,
 			Sampler: g.sampler, Retries: g.retries, Times: forwarder.NewTimes(),
 			Pressure: forwarder.NewPressure(), Quarantine: g.crashGuard,
 		}),
--- a/gateway/housekeeping.go
+++ b/gateway/housekeeping.go
@@ -42,6 +42,7 @@
 			g.membership.Update(now)
 			g.conditions.Expire(now)
 			g.notices.Expire(g.roster.Has, now)
+			g.quotas.Retain(g.roster.Has)
 			g.sampler.Retain(g.roster.Has)
 			g.divideLimits()
 		case <-hangup:
@@ -79,6 +80,7 @@
 func (g *Gateway) divideLimits() {
 	g.retries.SetBurst(g.allotment().Burst(g.settings.Load().RetryBurst, time.Now()))
 	g.sampler.UpdateLimits()
+	g.quotas.SetVMs(g.fleet.Settled())
 	if set := g.mirror.Rules(); set != nil {
 		g.splitter.Retain(set)
 	}
--- a/ingress/handle.go
+++ b/ingress/handle.go
@@ -206,7 +206,7 @@
 		// An error means that the caller disconnected, which also cancels the request's context.
 		_, _ = w.Write(out.Body)
 	case outcome.NotRun:
-		s.writeError(w, r, errorResponse{http.StatusServiceUnavailable, string(out.Reason), retryDelay(out.Reason)})
+		s.writeError(w, r, errorResponse{http.StatusServiceUnavailable, string(out.Reason), retryDelay(out)})
 	case outcome.Unknown:
 		switch out.Reason {
 		case outcome.Cancelled:
@@ -221,8 +221,11 @@
 }
 
 // retryDelay returns the delay after which the caller may repeat a request that did not run.
-func retryDelay(reason outcome.Reason) time.Duration {
-	switch reason {
+func retryDelay(out outcome.NotRun) time.Duration {
+	if out.RetryAfter > 0 {
+		return out.RetryAfter
+	}
+	switch out.Reason {
 	case outcome.Refused:
 		return retryAfterRefusal
 	case outcome.NoUpstream:
--- a/notice/table.go
+++ b/notice/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -18,6 +19,8 @@
 
 	mu  sync.Mutex
 	all map[string]*entry
+	// size is the number of entries, which is mostly 0.
+	size atomic.Int64
 }
 
 // entry holds the notices of one incarnation of an upstream.
@@ -43,8 +46,12 @@
 
 // Record records the notice of an answer of the upstream.
 func (t *Table) Record(u roster.Upstream, n Notice, now time.Time) {
+	if n == (Notice{}) && t.size.Load() == 0 {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	defer t.updateSize()
 	e := t.all[u.ID]
 	if e != nil && u.StartedMS < e.startedMS {
 		return
@@ -104,6 +111,9 @@
 
 // Get returns what holds for the upstream.
 func (t *Table) Get(u roster.Upstream, now time.Time) State {
+	if t.size.Load() == 0 {
+		return State{}
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.all[u.ID]
@@ -143,6 +153,7 @@
 func (t *Table) Expire(isKnown func(id string) bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	defer t.updateSize()
 	for id, e := range t.all {
 		if !isKnown(id) {
 			delete(t.all, id)
@@ -155,5 +166,11 @@
 		if !e.limitEnd.IsZero() && now.Sub(e.limitEnd) > endedPeriod {
 			e.hasLimit, e.limitEnd = false, time.Time{}
 		}
+		if !e.hasLimit && !e.leaving && e.pausedUntil.IsZero() {
+			delete(t.all, id)
+		}
 	}
 }
+
+// updateSize sets size; the caller holds mu.
+func (t *Table) updateSize() { t.size.Store(int64(len(t.all))) }
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -1,6 +1,9 @@
 package outcome
 
-import "net/http"
+import (
+	"net/http"
+	"time"
+)
 
 // Outcome is the result of a request: Answered, NotRun or Unknown.
 type Outcome interface {
@@ -23,6 +26,8 @@
 	Reason Reason
 	// Detail names the faulty part of the request, or is empty.
 	Detail string
+	// RetryAfter is the time after which the request may be served, or 0 if it isn't known.
+	RetryAfter time.Duration
 }
 
 // Unknown means that the request may or may not have run.
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -34,6 +34,8 @@
 	TooDeep Reason = "too-deep"
 	// Unreachable marks a request that could not be delivered at all.
 	Unreachable Reason = "unreachable"
+	// Limited marks a request that would exceed the limits that the upstreams stated.
+	Limited Reason = "limited"
 	// Cancelled marks a request whose caller disconnected.
 	Cancelled Reason = "cancelled"
 )
--- a/selection/selection.go
+++ b/selection/selection.go
@@ -42,6 +42,9 @@
 	Condition condition.Condition
 	// Near reports whether it is in the VM's own failure domain.
 	Near bool
+	// Quota is the number of requests that this VM may send to it at once; it is valid if HasQuota is true.
+	Quota    int
+	HasQuota bool
 }
 
 // ExpectedTime returns the expected time of a request at the candidate in usual service times.
@@ -82,10 +85,14 @@
 	return cost
 }
 
-// FreeSlots returns the number of the candidate's free slots.
+// FreeSlots returns the number of the candidate's free slots that this VM may use.
 func FreeSlots(c Candidate) int {
 	slots, busy := occupancy(c)
-	return max(slots-busy, 0)
+	free := max(slots-busy, 0)
+	if c.HasQuota {
+		free = min(free, c.Quota)
+	}
+	return free
 }
 
 // occupancy returns the candidate's slots and the number of requests known to run or wait there.
