Let the VMs that share a limit save up two more requests

The VMs that share a limit save up two requests more together; TestFleetChange still holds at 14, 472 and 3,000 VMs.

--- a/quota/keeper.go
+++ b/quota/keeper.go
@@ -18,6 +18,8 @@
 	// one and a half times their limit and five requests in 4 s. Each sharer adds one request that it has saved up, so that
 	// the sharers together stay below the limit by a fifth and by five requests.
 	sharersPerRate = 1.2
+	// savedRequests is the number of requests that the sharers of an upstream may save up together beyond one each.
+	savedRequests = 2
 	// burstTime is the time for which a VM with a large share may save up requests. Other VMs may save up one.
 	burstTime = 100 * time.Millisecond
 	// pollInterval is the age of a limit above which a poll is due.
@@ -164,7 +166,7 @@
 		return s, 0
 	}
 	rate = limit / sharers
-	s.tokens = min(s.tokens+rate*elapsed, max(1, rate*burstTime.Seconds()))
+	s.tokens = min(s.tokens+rate*elapsed, max((sharersPerRate*limit+savedRequests)/sharers, rate*burstTime.Seconds()))
 	return s, rate
 }
 
