Don't send a request that waited for a connection to an upstream that wants none

A request may wait for one of this VM's connections, or for a new one, for up to a second after its upstream was chosen. If the upstream refuses another request meanwhile and states for how long it wants none, all that wait arrived in that time. They are refused now before a byte is written and may be sent to another upstream. TestPausedWhileWaiting: three requests were sent before, none now.

--- a/exchange/attempt.go
+++ b/exchange/attempt.go
@@ -44,6 +44,7 @@
 	upstream  declaration.Upstream
 	maxAnswer int
 	echo      bool
+	isPaused  func(upstream string) bool
 
 	conn   *conn
 	reused bool
@@ -65,6 +66,10 @@
 	if a.conn, a.reused, err = a.pool.get(ctx, a.caller, a.upstream.Address); err != nil {
 		return a.resultWithoutAnswer(ctx, err)
 	}
+	if a.isPaused != nil && a.isPaused(a.upstream.Name) {
+		a.pool.put(a.conn, 0)
+		return unsent(outcome.Refused, "upstream wants no requests at present"), false
+	}
 	a.conn.begin(a.request.Deadline)
 	// The end of the context interrupts reads and writes in progress. The connection is not reused after that.
 	c := a.conn
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -518,3 +518,44 @@
 		})
 	}
 }
+
+// TestPausedWhileWaiting guards against requests that have waited for a connection and then go to an upstream that wants no
+// requests any more.
+func TestPausedWhileWaiting(t *testing.T) {
+	Convey("Given requests that wait for the only connection to an upstream", t, func() {
+		held, proceed := make(chan struct{}), make(chan struct{})
+		var paused atomic.Bool
+		s := startScripted(t, func(_ int64, r *http.Request) (string, bool) {
+			if id := r.Header.Get("Fulmarhitch-Request-Id"); id != "held" {
+				return response(id, "x"), true
+			}
+			close(held)
+			<-proceed
+			paused.Store(true)
+			return response("held", "x"), true
+		})
+		e := exchange.New(func(string) int { return 1 })
+		e.SetPaused(func(upstream string) bool { return upstream == "u" && paused.Load() })
+		defer e.Close()
+		up := upstream(s.Addr().String())
+		var requests sync.WaitGroup
+		requests.Go(func() { e.Do(t.Context(), newRequest("held", ""), up, 1<<20) })
+		<-held
+		results := make(chan exchange.Result, 3)
+		for i := range cap(results) {
+			requests.Go(func() { results <- e.Do(t.Context(), newRequest(fmt.Sprint("r", i), ""), up, 1<<20) })
+		}
+		time.Sleep(20 * time.Millisecond)
+		close(proceed)
+		requests.Wait()
+		for range cap(results) {
+			res := <-results
+			So(res.Class, ShouldEqual, exchange.Unsent)
+			So(res.Outcome.(outcome.NotRun).Reason, ShouldEqual, outcome.Refused)
+		}
+		So(s.requests.Load(), ShouldEqual, 1)
+		paused.Store(false)
+		So(e.Do(t.Context(), newRequest("after", ""), up, 1<<20).Class, ShouldEqual, exchange.Answered)
+		So(s.connections.Load(), ShouldEqual, 1)
+	})
+}
--- a/exchange/exchanger.go
+++ b/exchange/exchanger.go
@@ -19,6 +19,8 @@
 	connections func(service string) int
 	dialect     *Dialect
 	bodies      *buffer.Budget
+	// isPaused reports whether the upstream wants no requests; it is nil if upstreams can't tell.
+	isPaused func(upstream string) bool
 
 	mu    sync.RWMutex
 	pools map[string]*connPool
@@ -48,6 +50,12 @@
 	return &Exchanger{connections: connections, dialect: &d, bodies: bodies, pools: make(map[string]*connPool)}
 }
 
+// SetPaused sets the function that reports whether the upstream wants no requests at present. A request that has waited for a
+// connection is then not sent. It must be called before the first request.
+func (e *Exchanger) SetPaused(isPaused func(upstream string) bool) {
+	e.isPaused = isPaused
+}
+
 // Do sends the request to the upstream at most once and returns the result. A body of more than maxAnswer bytes counts as
 // truncated. Do returns at the latest at the request's deadline plus the time to check whether the upstream has died.
 func (e *Exchanger) Do(ctx context.Context, r *request.Request, up declaration.Upstream, maxAnswer int) Result {
@@ -122,6 +130,7 @@
 	p.setShare(share)
 	a := attempt{
 		pool: p, dialect: e.dialect, bodies: e.bodies, caller: caller, request: r, upstream: up, maxAnswer: maxAnswer, echo: echo,
+		isPaused: e.isPaused,
 	}
 	for try := 1; ; try++ {
 		res, stale := a.run(ctx)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -170,6 +170,7 @@
 		g.log.WithFields(logrus.Fields{"request": request, "bytes": size, "limit": s.BodyBytes()}).Warn("memory for bodies is used up; largest unfinished body cut off")
 	})
 	g.exchanger = exchange.NewWithDialect(g.connectionShare, g.config.UpstreamDialect, g.bodies)
+	g.exchanger.SetPaused(func(upstream string) bool { return g.notices.IsPaused(upstream, time.Now()) })
 	g.sampler = sampler.New(g.exchanger, g.conditions, g.notices, g.pollShare)
 	g.crashGuard = crash.New(g.config.Store, g.log)
 	g.mirror = mirror.New(mirror.Config{
--- a/notice/table.go
+++ b/notice/table.go
@@ -130,6 +130,17 @@
 	return s
 }
 
+// IsPaused reports whether the upstream with the ID wants no requests from this VM.
+func (t *Table) IsPaused(id string, now time.Time) bool {
+	if t.size.Load() == 0 {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.all[id]
+	return e != nil && now.Before(e.pausedUntil)
+}
+
 // Counts returns the numbers of upstreams for which a notice holds, by its kind.
 func (t *Table) Counts() map[string]uint64 {
 	t.mu.Lock()
