--- a/telemetry/doc.go
+++ b/telemetry/doc.go
@@ -14,5 +14,6 @@
 //	fulmarhitch_store_age_seconds                       time since the last contact with the store
 //	fulmarhitch_store_era, fulmarhitch_store_revision   history of the store, and revision up to which it is known
 //	fulmarhitch_upstreams, fulmarhitch_vms              known upstreams and VMs
+//	fulmarhitch_upstream_notices{kind}                  upstreams that state a limit, that they leave, or that they want no requests
 //	fulmarhitch_log_dropped_total                       log lines lost because standard output was blocked
 package telemetry
