Let VMs that the store turns away at their start ask known VMs

VMs that the store turned away as they started knew no other VM, were not ready for as long as that lasted and called the store all the time: 236 of 472 with 11,081 calls in 10 s (TestStartTurnedAway, failing each time before). The platform gives each process the addresses of up to three VMs. They are asked for all entries while searches in the store fail, all the time in the first 5 s and once a second later; a VM that gets the entries follows relays from then on. In the test two of the three are turned away too.

If all three VMs are turned away too, nothing has changed.

--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -13,6 +13,7 @@
 //	directory-address    IP address and port          required, for callers that look up addresses
 //	store-address        IP address and port          required
 //	peer-address         IP address and port          none, for other VMs
+//	seeds                IP addresses and ports       none, peer-addresses of VMs to ask while the store doesn't answer
 //	link-rate            0 to 1000000                 none, rate of the VM's network link in Mbit/s
 //	metrics-address      IP address and port          none
 //	address-lifetime     100ms to 1m                  2s, how long callers may keep addresses
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -132,6 +132,7 @@
 	g.peerClient = relay.NewClient(g.vms)
 	g.membership = membership.New(membership.Config{
 		Store: c.Store, Decode: c.Decode, Fleet: g.fleet, Table: g.vms, IsReady: g.isReady, Log: g.log,
+		Seeds:  s.Seeds,
 		Follow: func(vm fleet.VM) mirror.Source { return relay.NewPeer(g.peerClient, vm.PeerAddress) },
 	})
 	g.directoryAddress, g.readyAddress = l.directory.Addr().String(), l.ready.Addr().String()
--- a/gateway/housekeeping.go
+++ b/gateway/housekeeping.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"reflect"
 	"syscall"
 	"time"
 
@@ -62,7 +63,7 @@
 		return
 	}
 	old := g.settings.Load()
-	if *s == *old {
+	if reflect.DeepEqual(s, old) {
 		if cause != "" {
 			g.log.WithField("cause", cause).Info("settings are unchanged")
 		}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -18,6 +18,8 @@
 	StoreAddress string
 	// PeerAddress is for other VMs; without it, no other VM can follow this one in place of the store.
 	PeerAddress string
+	// Seeds are addresses of up to a few VMs for other VMs, which this VM asks when it starts and the store doesn't answer.
+	Seeds []string
 	// LinkRate is the rate of the VM's network link in Mbit/s, or 0 if it isn't known.
 	LinkRate float64
 	// MetricsAddress serves the metrics; it may be empty.
@@ -64,6 +66,7 @@
 		DirectoryAddress: document.Get(t, "directory-address", address),
 		StoreAddress:     document.Get(t, "store-address", address),
 		PeerAddress:      document.Get(t, "peer-address", document.Setting[string]{Optional: true, Check: document.Address}),
+		Seeds:            t.Strings("seeds", true, document.Address),
 		LinkRate:         document.Get(t, "link-rate", document.Setting[float64]{Optional: true, Check: document.Range(0.0, 1e6)}),
 		MetricsAddress:   document.Get(t, "metrics-address", document.Setting[string]{Optional: true, Check: document.Address}),
 		AddressLifetime: document.Get(t, "address-lifetime", document.Setting[time.Duration]{
--- /dev/null
+++ b/gateway/settings_test.go
@@ -0,0 +1,39 @@
+package gateway_test
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fulmarhitch/fulmarhitch/finding"
+	"github.com/fulmarhitch/fulmarhitch/gateway"
+)
+
+// TestSeeds guards against seeds that are lost, or accepted although they are no addresses.
+func TestSeeds(t *testing.T) {
+	const required = "name = \"vm\"\nfailure-domain = \"fd\"\naddress = \"10.0.0.1:1\"\nready-address = \"10.0.0.1:2\"\n" +
+		"directory-address = \"10.0.0.1:3\"\nstore-address = \"10.0.0.2:1\"\n"
+	tests := map[string]struct {
+		line     string
+		want     []string
+		findings int
+	}{
+		"none":           {"", nil, 0},
+		"empty":          {"seeds = []", nil, 0},
+		"two":            {`seeds = ["10.0.0.1:4", "10.0.0.3:4"]`, []string{"10.0.0.1:4", "10.0.0.3:4"}, 0},
+		"not a list":     {`seeds = "10.0.0.1:4"`, nil, 1},
+		"no addresses":   {`seeds = ["10.0.0.1", "", 4]`, nil, 3},
+		"a repeated one": {`seeds = ["10.0.0.1:4", "10.0.0.1:4"]`, nil, 1},
+	}
+	for name, tt := range tests {
+		Convey("Given seeds: "+name, t, func() {
+			s, err := gateway.ParseSettings("settings.toml", []byte(required+tt.line))
+			if tt.findings > 0 {
+				So(finding.Of(err), ShouldHaveLength, tt.findings)
+				return
+			}
+			So(err, ShouldBeNil)
+			So(s.Seeds, ShouldResemble, tt.want)
+		})
+	}
+}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -52,6 +52,8 @@
 	Table *presence.Table
 	// IsReady reports whether this VM serves callers.
 	IsReady func() bool
+	// Seeds are addresses of VMs for other VMs, which may be known without the store. They may have ended.
+	Seeds []string
 	// Follow returns the VM as a source of entries.
 	Follow func(vm fleet.VM) mirror.Source
 	Log    *logrus.Entry
@@ -103,7 +105,7 @@
 // Sources returns the VMs to follow in place of the store.
 func (m *Membership) Sources() mirror.Sources {
 	p := m.place()
-	s := mirror.Sources{Tier: p.Tier, FleetSize: m.config.Fleet.StoredSize()}
+	s := mirror.Sources{Tier: p.Tier, FleetSize: m.config.Fleet.StoredSize(), Seeds: m.seeds()}
 	if time.Since(m.start) > settleTime {
 		s.FleetSize = m.config.Fleet.KnownSize()
 	}
@@ -114,6 +116,17 @@
 	return s
 }
 
+// seeds returns the seeds without this VM as peers.
+func (m *Membership) seeds() []mirror.Peer {
+	var vms []fleet.VM
+	for _, address := range m.config.Seeds {
+		if address != m.config.Fleet.Self().PeerAddress {
+			vms = append(vms, fleet.VM{Name: address, PeerAddress: address})
+		}
+	}
+	return m.peers(vms)
+}
+
 // peers returns the VMs as peers.
 func (m *Membership) peers(vms []fleet.VM) []mirror.Peer {
 	var list []mirror.Peer
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -291,6 +291,8 @@
 	// turnedAway holds the names of the nodes that the store turns away, and cutOff is the failure domain that is cut off.
 	turnedAway map[string]bool
 	cutOff     string
+	// seeds are the addresses of the VMs that a starting VM knows without the store.
+	seeds []string
 }
 
 func (n *network) get(name string) *node {
@@ -496,6 +498,7 @@
 	isReady := func() bool { return x.mirror.Rules() != nil && x.roster.Len() > 0 }
 	x.membership = membership.New(membership.Config{
 		Store: a, Decode: decode, Fleet: x.fleet, Table: x.table, IsReady: isReady, Log: log,
+		Seeds:  n.seeds,
 		Follow: func(vm fleet.VM) mirror.Source { return link{n, x, vm.Name} },
 	})
 	x.mirror = mirror.New(mirror.Config{
@@ -973,6 +976,8 @@
 				for i := 0; i < len(vms); i += 2 {
 					half = append(half, &node{vm: vms[i]})
 				}
+				// The store turns two of the three seeds away too, which is so in half of such outages.
+				n.seeds = []string{vms[0].PeerAddress, vms[1].PeerAddress, vms[2].PeerAddress}
 				restore := n.turnAway(s, half)
 				nodes := n.startAll(t, s, vms, 1)
 				if took, missing := readyWithin(nodes, outage); took > readyTime {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -52,6 +52,9 @@
 	maxDiscoveryPause = 1200 * time.Millisecond
 	// discoveryTimeout bounds a search.
 	discoveryTimeout = 500 * time.Millisecond
+	// seedPeriod is the time after the start in which a VM that the store doesn't answer asks the seeds all the time. Later it
+	// does so after each search, as all VMs of the fleet may be in that state.
+	seedPeriod = 5 * time.Second
 	// minPause and maxPause bound the backoff after a failed call.
 	minPause = 100 * time.Millisecond
 	maxPause = 250 * time.Millisecond
@@ -98,6 +101,8 @@
 	FleetSize int
 	// Peers are the VMs, the preferred one first; there are none if this VM watches the store itself.
 	Peers []Peer
+	// Seeds are VMs that may have entries for a VM that can't look for others in the store; they may have ended.
+	Seeds []Peer
 	// Fallback are the VMs to follow while neither the peers nor the store can be reached.
 	Fallback []Peer
 }
@@ -170,11 +175,20 @@
 	pause := backoff.New(minDiscoveryPause, maxDiscoveryPause)
 	discoverAt, searchedAgain := time.Now(), false
 	for ctx.Err() == nil {
-		if !time.Now().Before(discoverAt) {
+		searched := !time.Now().Before(discoverAt)
+		if searched {
 			m.discover(ctx, false)
 			discoverAt = time.Now().Add(pause.Next())
 		}
-		for _, p := range m.config.Sources().Peers {
+		sources := m.config.Sources()
+		peers := sources.Peers
+		if m.storeFails && (searched || time.Since(m.start) < seedPeriod) {
+			rand.Shuffle(len(sources.Seeds), func(i, j int) {
+				sources.Seeds[i], sources.Seeds[j] = sources.Seeds[j], sources.Seeds[i]
+			})
+			peers = append(peers, sources.Seeds...)
+		}
+		for _, p := range peers {
 			_, err := m.fetch(ctx, step{peer: &p, maxAge: maxAge}, false)
 			if err == nil {
 				return true
@@ -205,7 +219,9 @@
 func (m *Mirror) discover(ctx context.Context, isFresh bool) {
 	callCtx, cancel := context.WithTimeout(ctx, discoveryTimeout)
 	defer cancel()
-	if err := m.config.Discover(callCtx, isFresh); err != nil && ctx.Err() == nil {
+	err := m.config.Discover(callCtx, isFresh)
+	m.storeFails = err != nil
+	if err != nil && ctx.Err() == nil {
 		m.config.Log.WithError(err).Debug("cannot look for relays in the store")
 	}
 }
