--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -55,6 +55,8 @@
 	maxPushes = 32
 	// pushQueueSize is the number of events that may wait for a push.
 	pushQueueSize = 4096
+	// maxSlowness bounds the slowness of this VM.
+	maxSlowness = 8
 	// pushBatch bounds the events of one push.
 	pushBatch = 256
 )
@@ -76,7 +78,10 @@
 	rnd         *rand.Rand
 	probing     map[string]bool // by peer address
 	pushProbed  bool            // a failed push has caused a probe in this interval
-	replaced    bool
+	// slowness rises with each probe to which neither the member nor a helper answers, and falls with each answered ping. It
+	// stretches the intervals and timeouts of pings.
+	slowness int
+	replaced bool
 
 	pushes  *ring.Ring[*peerpb.Event]
 	cancel  context.CancelFunc
--- a/gossip/handle.go
+++ b/gossip/handle.go
@@ -36,11 +36,12 @@
 	known := g.table.HasPeerAddress(target)
 	self := memberEvent(g.table.Self())
 	sender := g.sender()
+	stretch := 1 + g.slowness
 	g.mu.Unlock()
 	if !known {
 		return nil, errors.Newf("gossip: target %s is not a known VM", target)
 	}
-	ctx, cancel := context.WithTimeout(ctx, g.options.PingTimeout)
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(stretch)*g.options.PingTimeout)
 	defer cancel()
 	res, err := g.transport.Ping(ctx, target, &peerpb.PingRequest{Sender: sender, Events: []*peerpb.Event{self}})
 	if err == nil {
--- a/gossip/network_test.go
+++ b/gossip/network_test.go
@@ -21,15 +21,19 @@
 
 // network connects VMs in virtual time, with delay, loss, partitions and paused VMs.
 type network struct {
-	mu       sync.Mutex
-	vms      map[string]*vm // by peer address
-	rnd      *rand.Rand
-	loss     float64                    // probability that a message or answer is lost
-	blocked  func(from, to string) bool // reports, by VM names, whether all messages are lost; nil blocks none
-	bytes    int
-	messages int // with answers
-	lastSeed uint64
-	list     []member.Listed
+	mu      sync.Mutex
+	vms     map[string]*vm // by peer address
+	rnd     *rand.Rand
+	loss    float64                    // probability that a message or answer is lost
+	blocked func(from, to string) bool // reports, by VM names, whether all messages are lost; nil blocks none
+	// cost is the time of the processor that all VMs share for each message and answer, and busyUntil the end of the work that
+	// it has taken on.
+	cost      time.Duration
+	busyUntil time.Time
+	bytes     int
+	messages  int // with answers
+	lastSeed  uint64
+	list      []member.Listed
 }
 
 // vm is one process of the network and the transport of its Gossip.
@@ -143,11 +147,14 @@
 		if !ok {
 			return
 		}
+		if !v.net.process() {
+			return
+		}
 		to.waitWhilePaused()
 		a, err := handle(to, context.WithoutCancel(ctx), q)
 		to.waitWhilePaused()
 		time.Sleep(5 * time.Millisecond)
-		if _, ok := v.net.transmit(to, v.address, proto.Size(a)); ok {
+		if _, ok := v.net.transmit(to, v.address, proto.Size(a)); ok && v.net.process() {
 			answers <- func() (A, error) { return a, err }
 		}
 	}()
@@ -161,6 +168,34 @@
 	}
 }
 
+// maxBacklog bounds the work that waits for the shared processor; messages beyond it are lost.
+const maxBacklog = 2 * time.Second
+
+// process waits for the shared processor and for its work on one message, and reports whether the message was not lost.
+func (n *network) process() bool {
+	n.mu.Lock()
+	now := time.Now()
+	if n.busyUntil.Before(now) {
+		n.busyUntil = now
+	}
+	wait := n.busyUntil.Add(n.cost).Sub(now)
+	if wait > maxBacklog {
+		n.mu.Unlock()
+		return false
+	}
+	n.busyUntil = now.Add(wait)
+	n.mu.Unlock()
+	time.Sleep(wait)
+	return true
+}
+
+// setCost sets the time of the shared processor for each message.
+func (n *network) setCost(cost time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cost = cost
+}
+
 // transmit counts a message and reports whether it reaches the VM with the address, which it returns.
 func (n *network) transmit(from *vm, address string, size int) (*vm, bool) {
 	n.mu.Lock()
--- a/gossip/worker.go
+++ b/gossip/worker.go
@@ -27,7 +27,18 @@
 	var pings sync.WaitGroup
 	defer pings.Wait()
 	last := time.Now()
-	for n := 0; ; n++ {
+	for n, waiting := 0, 0; ; n++ {
+		if waiting > 0 {
+			waiting--
+			last = time.Now()
+			select {
+			case <-ticker.C:
+				continue
+			case <-ctx.Done():
+				return
+			}
+		}
+		waiting = g.stretch() - 1
 		now := time.Now()
 		// After a pause of this process, all other VMs seem not to have answered.
 		paused := now.Sub(last) > pauseIntervals*g.options.PingInterval
@@ -81,6 +92,24 @@
 	return idle
 }
 
+// stretch returns the factor by which the intervals and timeouts of pings are longer than usual.
+func (g *Gossip) stretch() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return 1 + g.slowness
+}
+
+// recordProbe records whether anybody answered a probe. If nobody did, this VM or its network is slow rather than all others.
+func (g *Gossip) recordProbe(answered bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if answered {
+		g.slowness = max(g.slowness-1, 0)
+	} else {
+		g.slowness = min(g.slowness+1, maxSlowness)
+	}
+}
+
 // probe pings a member directly, then through other members, and marks it as suspect if no ping reaches it.
 func (g *Gossip) probe(ctx context.Context, m member.Member) {
 	defer func() {
@@ -89,8 +118,13 @@
 		g.mu.Unlock()
 	}()
 	start := time.Now()
-	answered := g.ping(ctx, m, m.PeerAddress, "", g.options.PingTimeout)
-	if m.State == member.Candidate && (answered || !wasPaused(start, g.options.PingTimeout)) {
+	stretch := time.Duration(g.stretch())
+	pingTimeout, indirectTimeout := stretch*g.options.PingTimeout, stretch*g.options.IndirectTimeout
+	answered, _ := g.ping(ctx, m, m.PeerAddress, "", pingTimeout)
+	if answered {
+		g.recordProbe(true)
+	}
+	if m.State == member.Candidate && (answered || !wasPaused(start, pingTimeout)) {
 		g.mu.Lock()
 		g.table.RecordPing(m.Name, m.PeerAddress, answered)
 		g.mu.Unlock()
@@ -101,10 +135,15 @@
 	if m.State != member.Alive && m.State != member.Leaving {
 		return
 	}
-	if g.indirectPing(ctx, m) || ctx.Err() != nil {
+	reached, helped := g.indirectPing(ctx, m, indirectTimeout)
+	if reached || ctx.Err() != nil {
 		return
 	}
-	if wasPaused(start, g.options.PingTimeout+g.options.IndirectTimeout) {
+	if wasPaused(start, pingTimeout+indirectTimeout) {
+		return
+	}
+	g.recordProbe(helped)
+	if !helped {
 		return
 	}
 	now := time.Now()
@@ -128,27 +167,32 @@
 	return time.Since(start) > 2*timeout
 }
 
-// indirectPing asks random members to ping m and reports whether one of them reached it.
-func (g *Gossip) indirectPing(ctx context.Context, m member.Member) bool {
+// indirectPing asks random members to ping m. It reports whether one of them reached it, and whether one of them answered; without
+// any to ask, it counts as answered.
+func (g *Gossip) indirectPing(ctx context.Context, m member.Member, timeout time.Duration) (reached, answered bool) {
 	g.mu.Lock()
 	helpers := g.table.Sample(indirectPings, m.Name)
 	g.mu.Unlock()
-	var reached atomic.Bool
+	var anyReached, anyAnswered atomic.Bool
 	var wait sync.WaitGroup
 	for _, h := range helpers {
 		wait.Go(func() {
-			if g.ping(ctx, m, h.PeerAddress, m.PeerAddress, g.options.IndirectTimeout) {
-				reached.Store(true)
+			reached, answered := g.ping(ctx, m, h.PeerAddress, m.PeerAddress, timeout)
+			if reached {
+				anyReached.Store(true)
+			}
+			if answered {
+				anyAnswered.Store(true)
 			}
 		})
 	}
 	wait.Wait()
-	return reached.Load()
+	return anyReached.Load(), anyAnswered.Load() || len(helpers) == 0
 }
 
-// ping sends one ping to the address and reports whether m was reached. With a target, the receiver pings the target
-// in place of this VM.
-func (g *Gossip) ping(ctx context.Context, m member.Member, address, target string, timeout time.Duration) bool {
+// ping sends one ping to the address, and reports whether m was reached and whether the address answered. With a target, the
+// receiver pings the target in place of this VM.
+func (g *Gossip) ping(ctx context.Context, m member.Member, address, target string, timeout time.Duration) (reached, answered bool) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	g.mu.Lock()
@@ -162,13 +206,13 @@
 	g.mu.Unlock()
 	res, err := g.transport.Ping(ctx, address, q)
 	if err != nil || g.applyMessage(res.GetSender(), res.GetEvents(), time.Now()) != nil {
-		return false
+		return false, false
 	}
 	if target != "" {
-		return res.GetReached()
+		return res.GetReached(), true
 	}
 	// The address of a VM that is gone may have been assigned to another VM.
-	return m.State == member.Candidate || res.GetSender().GetName() == m.Name
+	return m.State == member.Candidate || res.GetSender().GetName() == m.Name, true
 }
 
 // pushLoop sends new events to random peers.
