--- a/soak/fault.go
+++ b/soak/fault.go
@@ -16,7 +16,7 @@
 type fault func(s *Soak, r *rand.Rand) (name string, begin, end func())
 
 var faults = []fault{killGateway, shutDownGateway, suspendGateway, storeLinkFault, upstreamLinkFault, upstreamBehaviour,
-	storeFault, dropStoreHistory, changeConfiguration, drainUpstream}
+	storeFault, dropStoreHistory, changeConfiguration, drainUpstream, upstreamNotice}
 
 // injectFaults begins faults, which may overlap, for the duration and returns when all have ended.
 func (s *Soak) injectFaults(duration time.Duration) {
@@ -103,6 +103,13 @@
 		func() { u.SetBehaviour(behaviour, serviceTime) }, func() { u.SetBehaviour(standin.Normal, serviceTime) }
 }
 
+// upstreamNotice leaves out that an upstream leaves, which holds for as long as it runs.
+func upstreamNotice(s *Soak, r *rand.Rand) (string, func(), func()) {
+	notices := []string{standin.LimitNotice, standin.PauseNotice, standin.UnreadableNotice}
+	u, notice := s.upstreams[r.IntN(len(s.upstreams))], notices[r.IntN(len(notices))]
+	return fmt.Sprintf("%s stating %q", u.ID, notice), func() { u.SetNotice(notice) }, func() { u.SetNotice("") }
+}
+
 func storeFault(s *Soak, r *rand.Rand) (string, func(), func()) {
 	faults := []standin.Faults{{Down: true}, {Hang: true}, {Delay: 300 * time.Millisecond}, {DropResponses: true}, {HideEvents: true}, {Down: true, PauseLeases: true}}
 	chosen := faults[r.IntN(len(faults))]
