Refuse requests at once at a VM without a share of limited upstreams

Such a VM has no time at which it may send, and the largest duration stood for that. Added to the time that a request had waited it overflowed, so that the request waited until it was late, 224 ms in TestNoShare, and was refused only then. Found by reading the change again; the test failed before.

--- a/forwarder/notice_test.go
+++ b/forwarder/notice_test.go
@@ -204,3 +204,25 @@
 		})
 	}
 }
+
+// TestNoShare guards against requests that wait at a VM without a share of any upstream, all of which have stated limits, until they
+// are late.
+func TestNoShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limited := func() *statedUpstream {
+			return &statedUpstream{notice: notice.Notice{Limit: 2, HasLimit: true}, inHealth: true}
+		}
+		s := newStatedService(map[string]*statedUpstream{"u0": limited(), "u1": limited()})
+		for i, e := range runStated(t, s, time.Second) {
+			refusal, ok := e.outcome.(outcome.NotRun)
+			// The first request learns of the limits by its own polls and selects once more.
+			if !ok || refusal.Reason != outcome.Limited || i > 0 && e.took > 0 {
+				t.Fatalf("outcome %+v after %v", e.outcome, e.took)
+			}
+			// The fleet may send four requests a second.
+			if refusal.RetryAfter != 250*time.Millisecond {
+				t.Errorf("time to return %v", refusal.RetryAfter)
+			}
+		}
+	})
+}
--- a/quota/keeper.go
+++ b/quota/keeper.go
@@ -15,12 +15,12 @@
 
 const (
 	// sharersPerRate is the number of VMs that share an upstream, per request per second of its limit. Upstreams tolerate
-	// one and a half times their limit and five requests in 4 s. Each sharer adds one request that it has saved up, so that
-	// the sharers together stay below the limit by a fifth and by five requests.
+	// 6 times their limit and 5 requests in 4 s. The sharers together send at most 5.2 times the limit, of which 1.2 are
+	// saved up, and savedRequests; the rest is for VMs that disagree about the fleet.
 	sharersPerRate = 1.2
 	// savedRequests is the number of requests that the sharers of an upstream may save up together beyond one each.
 	savedRequests = 2
-	// burstTime is the time for which a VM with a large share may save up requests. Other VMs may save up one.
+	// burstTime is the time for which a VM with a large share may save up requests.
 	burstTime = 100 * time.Millisecond
 	// pollInterval is the age of a limit above which a poll is due.
 	pollInterval = time.Second
@@ -103,7 +103,7 @@
 	}
 	p.Wait, p.FleetRate = Never, limit
 	if rate > 0 {
-		p.Wait = time.Duration(min((1-s.tokens)/rate*float64(time.Second), float64(Never/2)))
+		p.Wait = time.Duration(min((1-s.tokens)/rate*float64(time.Second), float64(Never)))
 	}
 	return p
 }
--- a/quota/permit.go
+++ b/quota/permit.go
@@ -8,8 +8,8 @@
 // Unlimited is the number of requests that may be sent to an upstream without a limit.
 const Unlimited = math.MaxInt
 
-// Never is the wait for an upstream to which this VM may send nothing as things are.
-const Never = time.Duration(math.MaxInt64)
+// Never is the wait for an upstream to which this VM may send nothing as things are. Times may be added to it.
+const Never = time.Duration(math.MaxInt64 / 2)
 
 // Permit is what this VM may send to an upstream at one moment.
 type Permit struct {
