Bound the memory for bodies at entry VMs by a setting

The settings memory and body-memory now give one budget for both, as at gateways. The largest unfinished body is cut off when it is used up, its call is refused as not run with reason no-memory (503), and the log names it.

--- a/buffer/budget.go
+++ b/buffer/budget.go
@@ -31,6 +31,18 @@
 	return &Budget{limit: limit, onEvict: onEvict, growing: make(map[*Hold]struct{}), changed: make(chan struct{})}
 }
 
+// defaultShare is the divisor of the memory of a process that gives the default limit of its budget.
+const defaultShare = 4
+
+// Limit returns the limit in bytes of the budget of a process with the memory in MiB; bodies is the limit in MiB that its settings
+// state, or 0.
+func Limit(memory, bodies int) int64 {
+	if bodies > 0 {
+		return int64(bodies) << 20
+	}
+	return int64(memory) << 20 / defaultShare
+}
+
 // Used returns the number of bytes held.
 func (b *Budget) Used() int64 {
 	b.mu.Lock()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/fulmarhitch/fulmarhitch/asynclog"
+	"github.com/fulmarhitch/fulmarhitch/buffer"
 	"github.com/fulmarhitch/fulmarhitch/configsync"
 	"github.com/fulmarhitch/fulmarhitch/declaration"
 	"github.com/fulmarhitch/fulmarhitch/exchange"
@@ -55,14 +56,16 @@
 	self        member.Member
 	started     time.Time
 
-	kernel     *kernel.Kernel
-	holder     *generation.Holder
-	gossip     *gossip.Gossip
-	groups     *group.Registry
-	ledger     *ledger.Ledger
-	metrics    *metric.Metrics
-	peers      *peer.Client
-	exchange   *exchange.Exchanger
+	kernel   *kernel.Kernel
+	holder   *generation.Holder
+	gossip   *gossip.Gossip
+	groups   *group.Registry
+	ledger   *ledger.Ledger
+	metrics  *metric.Metrics
+	peers    *peer.Client
+	exchange *exchange.Exchanger
+	// bodies is the memory for the bodies of requests and answers.
+	bodies     *buffer.Budget
 	store      *store.Client
 	vms        *vmlist.Client
 	syncer     *configsync.Syncer
@@ -112,7 +115,11 @@
 	e.gossip = gossip.New(e.self, e.peers, gossip.DefaultOptions(), e.log)
 	e.gossip.ApplyList(e.seeds())
 	e.groups = group.New(e.incarnation)
-	e.exchange = exchange.New(e.connectionShare)
+	limit := buffer.Limit(e.settings.Memory, e.settings.BodyMemory)
+	e.bodies = buffer.New(limit, func(request string, size int64) {
+		e.log.WithFields(logrus.Fields{"request": request, "bytes": size, "limit": limit}).Warn("memory for bodies is used up; largest unfinished body cut off")
+	})
+	e.exchange = exchange.NewWithBudget(e.connectionShare, e.bodies)
 	e.store = store.New(e.settings.StoreAddress)
 	e.vms = vmlist.New(e.settings.VMListAddress)
 	e.suspects = suspect.New(e.announceSuspect)
--- a/entry/frontend.go
+++ b/entry/frontend.go
@@ -15,7 +15,7 @@
 
 func (e *Entry) newFrontend(l net.Listener) *frontend.Server {
 	return frontend.New(frontend.Config{
-		Listener: l, Run: e.router.Run, Refuse: e.router.RefusalOutcome, Current: e.holder.Current, Addresses: e.addresses, Submit: e.submit,
+		Listener: l, Bodies: e.bodies, Run: e.router.Run, Refuse: e.router.RefusalOutcome, Current: e.holder.Current, Addresses: e.addresses, Submit: e.submit,
 		Unconfirmed: e.unconfirmed, Status: e.status, Metrics: e.metrics.Handler(), Log: e.log,
 	})
 }
--- a/exchange/exchanger.go
+++ b/exchange/exchanger.go
@@ -41,7 +41,12 @@
 // New returns an exchanger for the native dialect that opens at most connections(service) connections to each upstream of
 // the service. It calls the function for each request; a result below 1 allows no connections.
 func New(connections func(service string) int) *Exchanger {
-	return NewWithDialect(connections, native, buffer.New(maxBodies, func(string, int64) {}))
+	return NewWithBudget(connections, buffer.New(maxBodies, func(string, int64) {}))
+}
+
+// NewWithBudget returns an exchanger like that of New, which holds the bodies of unfinished answers within the budget.
+func NewWithBudget(connections func(service string) int, bodies *buffer.Budget) *Exchanger {
+	return NewWithDialect(connections, native, bodies)
 }
 
 // NewWithDialect returns an exchanger like that of New for upstreams with the given dialect. The bodies of unfinished answers
--- a/frontend/call.go
+++ b/frontend/call.go
@@ -1,7 +1,7 @@
 package frontend
 
 import (
-	"bytes"
+	"context"
 	"net/http"
 	"strconv"
 	"strings"
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fulmarhitch/fulmarhitch/buffer"
 	"github.com/fulmarhitch/fulmarhitch/declaration"
 	"github.com/fulmarhitch/fulmarhitch/header"
 	"github.com/fulmarhitch/fulmarhitch/limit"
@@ -18,8 +19,6 @@
 
 const (
 	callPrefix = "/v1/call/"
-	// maxDirectBody is the largest announced length in bytes for which memory is taken at once.
-	maxDirectBody = 32 << 10
 	// unreadBodyTimeout bounds the read of a body of a refused call.
 	unreadBodyTimeout = time.Second
 	// maxIDLength bounds a request identifier in bytes, because identifiers are stored and logged.
@@ -69,6 +68,7 @@
 		writeOutcome(w, id, s.config.Refuse(req.Header.Get(header.Key), *refusal))
 		return
 	}
+	defer s.config.Bodies.Take(int64(len(r.Body))).Close()
 	writeOutcome(w, id, s.config.Run(req.Context(), r))
 }
 
@@ -91,7 +91,7 @@
 	if refusal := checkHeaders(r, req, kind, now); refusal != nil {
 		return nil, refusal
 	}
-	if refusal := readBody(r, w, req, service.MaxBody); refusal != nil {
+	if refusal := s.readBody(r, w, req, service.MaxBody); refusal != nil {
 		return nil, refusal
 	}
 	return r, nil
@@ -163,7 +163,7 @@
 // readBody reads the whole body within the limit and the request's deadline, so that a caller that sends its body slowly
 // does not hold memory for longer. After an error the read deadline stays set, because the server then reads and
 // discards the rest of the body.
-func readBody(r *request.Request, w http.ResponseWriter, req *http.Request, limit int) *outcome.NotRun {
+func (s *Server) readBody(r *request.Request, w http.ResponseWriter, req *http.Request, limit int) *outcome.NotRun {
 	if req.ContentLength == 0 {
 		return nil
 	}
@@ -172,7 +172,7 @@
 	if req.ContentLength > int64(limit) {
 		return tooLarge(limit)
 	}
-	body, refusal := readAll(w, req, limit)
+	body, refusal := s.readAll(r, control, req, limit)
 	if refusal != nil {
 		return refusal
 	}
@@ -182,20 +182,23 @@
 }
 
 // readAll reads the body. Memory is taken as it arrives, whatever length was announced.
-func readAll(w http.ResponseWriter, req *http.Request, limit int) ([]byte, *outcome.NotRun) {
-	var body bytes.Buffer
-	body.Grow(int(min(max(req.ContentLength, 0), maxDirectBody)) + bytes.MinRead)
-	_, err := body.ReadFrom(http.MaxBytesReader(w, req.Body, int64(limit)))
-	var large *http.MaxBytesError
+func (s *Server) readAll(r *request.Request, control *http.ResponseController, req *http.Request, limit int) ([]byte, *outcome.NotRun) {
+	ctx, cancel := context.WithDeadline(req.Context(), r.Deadline)
+	defer cancel()
+	hold := s.config.Bodies.Open(r.ID, func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
+	defer hold.Close()
+	body, err := buffer.Read(ctx, req.Body, int64(limit), hold)
 	switch {
-	case errors.As(err, &large):
+	case errors.Is(err, buffer.ErrTooLarge):
 		return nil, tooLarge(limit)
+	case errors.Is(err, buffer.ErrEvicted):
+		return nil, &outcome.NotRun{Reason: outcome.NoMemory, Detail: "body: memory for bodies is used up"}
 	case err != nil && req.ContentLength > 0:
 		return nil, badRequest("body: ended early: " + err.Error())
 	case err != nil:
 		return nil, badRequest("body: " + err.Error())
 	}
-	return body.Bytes(), nil
+	return body, nil
 }
 
 func badRequest(detail string) *outcome.NotRun {
--- a/frontend/call_test.go
+++ b/frontend/call_test.go
@@ -9,6 +9,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/fulmarhitch/fulmarhitch/buffer"
 	"github.com/fulmarhitch/fulmarhitch/declaration"
 	"github.com/fulmarhitch/fulmarhitch/generation"
 	"github.com/fulmarhitch/fulmarhitch/header"
@@ -33,6 +34,7 @@
 	defer func() { _ = l.Close() }()
 	var ran string
 	s := New(Config{
+		Bodies:   buffer.New(1<<20, func(string, int64) {}),
 		Listener: l, Metrics: http.NotFoundHandler(), Current: func() *generation.Current { return &generation.Current{Declaration: d} },
 		Refuse: func(_ string, refusal outcome.NotRun) outcome.Outcome { return refusal },
 		Run: func(_ context.Context, r *request.Request) outcome.Outcome {
--- a/frontend/frontend_test.go
+++ b/frontend/frontend_test.go
@@ -15,6 +15,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/fulmarhitch/fulmarhitch/addressing"
+	"github.com/fulmarhitch/fulmarhitch/buffer"
 	"github.com/fulmarhitch/fulmarhitch/declaration"
 	"github.com/fulmarhitch/fulmarhitch/envelope"
 	"github.com/fulmarhitch/fulmarhitch/frontend"
@@ -34,6 +35,9 @@
 	return l.Addr().String(), serveOn(t, l, out)
 }
 
+// maxBodies is the memory for bodies of the servers of these tests.
+const maxBodies = 24 << 20
+
 // serveOn is like serve with a listener.
 func serveOn(t *testing.T, l net.Listener, out outcome.Outcome) *[]*request.Request {
 	log := logrus.New()
@@ -46,6 +50,7 @@
 		}}}
 	var ran []*request.Request
 	s := frontend.New(frontend.Config{
+		Bodies:   buffer.New(maxBodies, func(string, int64) {}),
 		Listener: l, Current: func() *generation.Current { return current }, Metrics: http.NotFoundHandler(), Log: logrus.NewEntry(log),
 		Refuse: func(_ string, refusal outcome.NotRun) outcome.Outcome { return refusal },
 		Run:    func(_ context.Context, r *request.Request) outcome.Outcome { ran = append(ran, r); return out },
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/fulmarhitch/fulmarhitch/addressing"
+	"github.com/fulmarhitch/fulmarhitch/buffer"
 	"github.com/fulmarhitch/fulmarhitch/generation"
 	"github.com/fulmarhitch/fulmarhitch/outcome"
 	"github.com/fulmarhitch/fulmarhitch/request"
@@ -36,6 +37,8 @@
 type Config struct {
 	// Listener accepts the connections of callers and operators.
 	Listener net.Listener
+	// Bodies is the memory for the bodies of requests.
+	Bodies *buffer.Budget
 	// Run runs one request and returns its outcome.
 	Run func(ctx context.Context, r *request.Request) outcome.Outcome
 	// Refuse returns the outcome to report for a refused request with the given text of its key.
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/fulmarhitch/fulmarhitch/buffer"
 	"github.com/fulmarhitch/fulmarhitch/document"
 )
 
@@ -45,11 +46,7 @@
 
 // BodyBytes returns the bound in bytes on the bodies that are held.
 func (s *Settings) BodyBytes() int64 {
-	const defaultShare = 4
-	if s.BodyMemory > 0 {
-		return int64(s.BodyMemory) << 20
-	}
-	return int64(s.Memory) << 20 / defaultShare
+	return buffer.Limit(s.Memory, s.BodyMemory)
 }
 
 // ParseSettings reads the text of a settings file with the given name. If the text is invalid, the error holds all findings
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -36,6 +36,8 @@
 	Unreachable Reason = "unreachable"
 	// Limited marks a request that would exceed the limits that the upstreams stated.
 	Limited Reason = "limited"
+	// NoMemory marks a request whose body was cut off because the memory for bodies was used up.
+	NoMemory Reason = "no-memory"
 	// Cancelled marks a request whose caller disconnected.
 	Cancelled Reason = "cancelled"
 )
--- a/proof/fixture_test.go
+++ b/proof/fixture_test.go
@@ -217,7 +217,8 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	e, err := entry.New(&settings.Settings{
-		Name: v.name, FailureDomain: v.domain, Address: "127.0.0.1:0", PeerAddress: "127.0.0.1:0", StoreAddress: f.store,
+		Memory: 256,
+		Name:   v.name, FailureDomain: v.domain, Address: "127.0.0.1:0", PeerAddress: "127.0.0.1:0", StoreAddress: f.store,
 		VMListAddress: f.store, StopTimeout: time.Second, LogLevel: "error",
 	}, logrus.NewEntry(log))
 	f.must(err)
--- a/rehearsal/fleet_test.go
+++ b/rehearsal/fleet_test.go
@@ -155,7 +155,8 @@
 	}
 	f.t.Cleanup(l.Close)
 	e, err := entry.New(&settings.Settings{
-		Name: name, FailureDomain: fmt.Sprintf("d%d", domain), Address: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
+		Memory: 256,
+		Name:   name, FailureDomain: fmt.Sprintf("d%d", domain), Address: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
 		StoreAddress: l.Address(), VMListAddress: l.Address(), Peers: peers, StopTimeout: 10 * time.Second,
 	}, logrus.NewEntry(logger))
 	if err == nil {
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -25,7 +25,9 @@
 		StopTimeout: document.Get(t, "stop-timeout", document.Setting[time.Duration]{
 			Optional: true, Default: 90 * time.Second, Check: document.Range(time.Second, 10*time.Minute),
 		}),
-		LogLevel: document.Get(t, "log-level", document.Setting[string]{Optional: true, Default: "info", Check: checkLogLevel}),
+		Memory:     document.Get(t, "memory", document.Setting[int]{Optional: true, Default: 256, Check: document.Range(32, 1<<20)}),
+		BodyMemory: document.Get(t, "body-memory", document.Setting[int]{Optional: true, Check: document.Range(0, 1<<20)}),
+		LogLevel:   document.Get(t, "log-level", document.Setting[string]{Optional: true, Default: "info", Check: checkLogLevel}),
 	}
 	if s.Address != "" && s.Address == s.PeerAddress {
 		t.Report("peer-address", "%s is also the address for callers", s.Address)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -18,6 +18,10 @@
 	Peers []string
 	// StopTimeout bounds a graceful shutdown.
 	StopTimeout time.Duration
+	// Memory is the memory that the process may use, in MiB.
+	Memory int
+	// BodyMemory bounds the bodies of requests and answers that are held, in MiB; 0 stands for a quarter of Memory.
+	BodyMemory int
 	// LogLevel is one of debug, info, warning and error.
 	LogLevel string
 }
--- a/slope/data_test.go
+++ b/slope/data_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/fulmarhitch/fulmarhitch/buffer"
 	"github.com/fulmarhitch/fulmarhitch/dispatch"
 	"github.com/fulmarhitch/fulmarhitch/frontend"
 	"github.com/fulmarhitch/fulmarhitch/generation"
@@ -64,6 +65,7 @@
 		b.Fatal(err)
 	}
 	s := frontend.New(frontend.Config{
+		Bodies:   buffer.New(64<<20, func(string, int64) {}),
 		Listener: l, Metrics: http.NotFoundHandler(), Log: logrus.NewEntry(logrus.New()),
 		Current: func() *generation.Current { return &generation.Current{Declaration: d} },
 		Run: func(ctx context.Context, r *request.Request) outcome.Outcome {
--- a/slope/entry_test.go
+++ b/slope/entry_test.go
@@ -41,7 +41,8 @@
 	text := s.text()
 	before := liveMemory()
 	e, err := entry.New(&settings.Settings{
-		Name: "entry-000", FailureDomain: "fd-0", Address: "127.0.0.1:0", PeerAddress: "127.0.0.1:0", StoreAddress: address,
+		Memory: 256,
+		Name:   "entry-000", FailureDomain: "fd-0", Address: "127.0.0.1:0", PeerAddress: "127.0.0.1:0", StoreAddress: address,
 		VMListAddress: address, StopTimeout: time.Second,
 	}, logrus.NewEntry(log))
 	if err != nil {
