Keep a noticed pause until the next pings of a slow VM, and split two functions

A VM that is slow skips intervals of its pings. A pause of the process noticed in such an interval was forgotten, so that suspicions from before it could end as deaths; found by reading the change. The choice of the first peers has a function of its own in mirror, and takeQuota stands with the choice of upstreams.

--- a/forwarder/blockage.go
+++ b/forwarder/blockage.go
@@ -39,8 +39,3 @@
 	}
 	return max(wait, minRetryAfter)
 }
-
-// takeQuota takes the request from the quota of the chosen upstream, and reports whether it may be sent.
-func (r *run) takeQuota(c *choice) bool {
-	return r.config.Quotas.Take(c.Upstream, time.Now())
-}
--- a/forwarder/choose.go
+++ b/forwarder/choose.go
@@ -105,6 +105,11 @@
 	}
 }
 
+// takeQuota takes the request from the quota of the chosen upstream, and reports whether it may be sent.
+func (r *run) takeQuota(c *choice) bool {
+	return r.config.Quotas.Take(c.Upstream, time.Now())
+}
+
 // mayTakeSlot reports whether the request may take a slot of the upstream. While more urgent requests find no free slot,
 // it has to leave one free.
 func (r *run) mayTakeSlot(c *choice) bool {
--- a/gossip/worker.go
+++ b/gossip/worker.go
@@ -26,25 +26,20 @@
 	defer ticker.Stop()
 	var pings sync.WaitGroup
 	defer pings.Wait()
-	last := time.Now()
-	for n, waiting := 0, 0; ; n++ {
-		if waiting > 0 {
-			waiting--
-			last = time.Now()
-			select {
-			case <-ticker.C:
-				continue
-			case <-ctx.Done():
-				return
-			}
-		}
-		waiting = g.stretch() - 1
+	last, paused := time.Now(), false
+	// idle is the number of intervals left in which this VM sends no pings, because it is slow.
+	for n, idle := 0, 0; ; {
 		now := time.Now()
 		// After a pause of this process, all other VMs seem not to have answered.
-		paused := now.Sub(last) > pauseIntervals*g.options.PingInterval
+		paused = paused || now.Sub(last) > pauseIntervals*g.options.PingInterval
 		last = now
-		for _, m := range g.targets(n, paused, now) {
-			pings.Go(func() { g.probe(ctx, m) })
+		if idle > 0 {
+			idle--
+		} else {
+			for _, m := range g.targets(n, paused, now) {
+				pings.Go(func() { g.probe(ctx, m) })
+			}
+			n, idle, paused = n+1, g.stretch()-1, false
 		}
 		select {
 		case <-ticker.C:
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -180,15 +180,7 @@
 			m.discover(ctx, false)
 			discoverAt = time.Now().Add(pause.Next())
 		}
-		sources := m.config.Sources()
-		peers := sources.Peers
-		if m.storeFails && (searched || time.Since(m.start) < seedPeriod) {
-			rand.Shuffle(len(sources.Seeds), func(i, j int) {
-				sources.Seeds[i], sources.Seeds[j] = sources.Seeds[j], sources.Seeds[i]
-			})
-			peers = append(peers, sources.Seeds...)
-		}
-		for _, p := range peers {
+		for _, p := range m.firstPeers(searched) {
 			_, err := m.fetch(ctx, step{peer: &p, maxAge: maxAge}, false)
 			if err == nil {
 				return true
@@ -215,6 +207,19 @@
 	return false
 }
 
+// firstPeers returns the VMs to ask for the first entries: those to follow, and the seeds if the store fails. The parameter searched
+// reports whether relays have just been looked for.
+func (m *Mirror) firstPeers(searched bool) []Peer {
+	sources := m.config.Sources()
+	if !m.storeFails || !searched && time.Since(m.start) >= seedPeriod {
+		return sources.Peers
+	}
+	rand.Shuffle(len(sources.Seeds), func(i, j int) {
+		sources.Seeds[i], sources.Seeds[j] = sources.Seeds[j], sources.Seeds[i]
+	})
+	return append(sources.Peers, sources.Seeds...)
+}
+
 // discover looks for relays.
 func (m *Mirror) discover(ctx context.Context, isFresh bool) {
 	callCtx, cancel := context.WithTimeout(ctx, discoveryTimeout)
