--- a/buffer/budget.go
+++ b/buffer/budget.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 )
 
 // ErrEvicted is the error for a body that was cut off because the budget was used up.
@@ -34,13 +35,16 @@
 // defaultShare is the divisor of the memory of a process that gives the default limit of its budget.
 const defaultShare = 4
 
-// Limit returns the limit in bytes of the budget of a process with the memory in MiB; bodies is the limit in MiB that its settings
-// state, or 0.
-func Limit(memory, bodies int) int64 {
-	if bodies > 0 {
-		return int64(bodies) << 20
+// ForProcess returns the budget of a process with the memory in MiB, which logs each body that is cut off. Its limit is bodies in
+// MiB, or a quarter of the memory if that is 0.
+func ForProcess(memory, bodies int, log *logrus.Entry) *Budget {
+	limit := int64(bodies) << 20
+	if bodies == 0 {
+		limit = int64(memory) << 20 / defaultShare
 	}
-	return int64(memory) << 20 / defaultShare
+	return New(limit, func(request string, size int64) {
+		log.WithFields(logrus.Fields{"request": request, "bytes": size, "limit": limit}).Warn("memory for bodies is used up; largest unfinished body cut off")
+	})
 }
 
 // Used returns the number of bytes held.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -115,10 +115,7 @@
 	e.gossip = gossip.New(e.self, e.peers, gossip.DefaultOptions(), e.log)
 	e.gossip.ApplyList(e.seeds())
 	e.groups = group.New(e.incarnation)
-	limit := buffer.Limit(e.settings.Memory, e.settings.BodyMemory)
-	e.bodies = buffer.New(limit, func(request string, size int64) {
-		e.log.WithFields(logrus.Fields{"request": request, "bytes": size, "limit": limit}).Warn("memory for bodies is used up; largest unfinished body cut off")
-	})
+	e.bodies = buffer.ForProcess(e.settings.Memory, e.settings.BodyMemory, e.log)
 	e.exchange = exchange.NewWithBudget(e.connectionShare, e.bodies)
 	e.store = store.New(e.settings.StoreAddress)
 	e.vms = vmlist.New(e.settings.VMListAddress)
--- a/forwarder/blockage.go
+++ b/forwarder/blockage.go
@@ -12,9 +12,8 @@
 
 // blockage is what keeps this VM from sending a request to upstreams that have stated a limit or a pause, or that leave.
 type blockage struct {
-	// count is the number of these upstreams, and isAll reports whether there are no others.
-	count int
-	isAll bool
+	// isAny reports whether there are such upstreams, and isAll whether there are no others.
+	isAny, isAll bool
 	// wait is the time until this VM may send to one of them, or quota.Never.
 	wait time.Duration
 	// fleetRate is the number of requests per second that the fleet may send to them.
@@ -23,7 +22,7 @@
 
 // add adds an upstream that this VM may not send to.
 func (b *blockage) add(p quota.Permit) {
-	b.count++
+	b.isAny = true
 	b.wait = min(b.wait, p.Wait)
 	b.fleetRate += p.FleetRate
 }
--- a/forwarder/choose.go
+++ b/forwarder/choose.go
@@ -205,7 +205,7 @@
 			p.limited = append(p.limited, u)
 		}
 	}
-	r.blocked.isAll = len(near.open)+len(far.open) == 0 && r.blocked.count > 0
+	r.blocked.isAll = r.blocked.isAny && len(near.open)+len(far.open) == 0
 	near.open, near.limited = r.subset(near.open), r.subset(near.limited)
 	return near, far
 }
@@ -220,12 +220,10 @@
 		maxWait = max(remaining, 0)
 	}
 	r.config.Sampler.Poll(sampled, r.job.HealthPath, maxWait)
-	now := time.Now()
 	// An upstream may have been removed, or may have stated a limit, during the poll.
-	sampled = slices.DeleteFunc(sampled, func(u roster.Upstream) bool {
-		return !r.config.Roster.IsUsable(u) || r.config.Quotas.Check(u, now).Requests == 0
-	})
-	list := r.withConditions(sampled, near, now)
+	sampled = slices.DeleteFunc(sampled, func(u roster.Upstream) bool { return !r.config.Roster.IsUsable(u) })
+	now := time.Now()
+	list := slices.DeleteFunc(r.withConditions(sampled, near, now), func(c selection.Candidate) bool { return c.HasQuota && c.Quota == 0 })
 	r.sampled = append(r.sampled, list...)
 	i, cost := selection.Best(list, now)
 	if i < 0 || current != nil && current.cost <= cost {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -167,9 +167,7 @@
 // registerServices creates the services and registers them in the order of their start; they stop in reverse order.
 func (g *Gateway) registerServices(l listeners) {
 	s := g.settings.Load()
-	g.bodies = buffer.New(s.BodyBytes(), func(request string, size int64) {
-		g.log.WithFields(logrus.Fields{"request": request, "bytes": size, "limit": s.BodyBytes()}).Warn("memory for bodies is used up; largest unfinished body cut off")
-	})
+	g.bodies = buffer.ForProcess(s.Memory, s.BodyMemory, g.log)
 	g.exchanger = exchange.NewWithDialect(g.connectionShare, g.config.UpstreamDialect, g.bodies)
 	g.exchanger.SetPaused(func(upstream string) bool { return g.notices.IsPaused(upstream, time.Now()) })
 	g.sampler = sampler.New(g.exchanger, g.conditions, g.notices, g.pollShare)
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -5,7 +5,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/fulmarhitch/fulmarhitch/buffer"
 	"github.com/fulmarhitch/fulmarhitch/document"
 )
 
@@ -44,11 +43,6 @@
 	LogLevel logrus.Level
 }
 
-// BodyBytes returns the bound in bytes on the bodies that are held.
-func (s *Settings) BodyBytes() int64 {
-	return buffer.Limit(s.Memory, s.BodyMemory)
-}
-
 // ParseSettings reads the text of a settings file with the given name. If the text is invalid, the error holds all findings
 // (finding.Of), each with file name, line and column.
 func ParseSettings(name string, text []byte) (*Settings, error) {
