Log and show when a VM reaches no upstream

Package contact takes polls and dials without an answer as evidence, confirms it by polling a sample of upstreams of all services on new connections, and logs the loss and the return of contact. Nothing acts on it yet.

--- /dev/null
+++ b/contact/contact_test.go
@@ -0,0 +1,153 @@
+package contact_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fulmarhitch/fulmarhitch/contact"
+)
+
+// network models the upstreams as one VM reaches them.
+type network struct {
+	// answering is the number of the sampled upstreams that answer a probe.
+	answering int
+	probes    int
+	changes   int
+}
+
+const sampled = 8
+
+func (n *network) probe(ctx context.Context) contact.Probe {
+	n.probes++
+	if n.answering < sampled {
+		<-ctx.Done()
+	}
+	return contact.Probe{Asked: sampled, Answered: n.answering}
+}
+
+// start returns a running monitor.
+func (n *network) start(t *testing.T) *contact.Monitor {
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	m := contact.New(contact.Config{
+		Known: func() int { return 30 }, Probe: n.probe, OnChange: func() { n.changes++ }, Log: logrus.NewEntry(l),
+	})
+	go m.Run(t.Context())
+	return m
+}
+
+// address returns the address of an upstream.
+func address(i int) string { return fmt.Sprintf("192.0.2.%d:80", i) }
+
+// TestLost guards against a VM that doesn't notice that it reaches no upstream, and against one that takes failed upstreams, slow
+// answers or a pause of its own process for that.
+func TestLost(t *testing.T) {
+	tests := map[string]struct {
+		answering int
+		// evidence is called each 10 ms.
+		evidence func(m *contact.Monitor, step int)
+		isLost   bool
+	}{
+		"polls without an answer": {0, func(m *contact.Monitor, step int) { m.Polled(address(step % 6)) }, true},
+		"dials that hang":         {0, func(m *contact.Monitor, step int) { m.Dialing(address(step % 6)) }, true},
+		"dials that are refused while kept connections live": {0, func(m *contact.Monitor, step int) {
+			m.Dialing(address(step % 6))
+			m.Heard()
+		}, true},
+		"no traffic":                                 {0, func(*contact.Monitor, int) {}, false},
+		"three upstreams without an answer":          {0, func(m *contact.Monitor, step int) { m.Polled(address(step % 3)) }, false},
+		"a service without an answer, others answer": {sampled, func(m *contact.Monitor, step int) { m.Polled(address(step % 6)) }, false},
+		"one of the sample answers":                  {1, func(m *contact.Monitor, step int) { m.Polled(address(step % 6)) }, false},
+		"answers between polls": {0, func(m *contact.Monitor, step int) {
+			m.Polled(address(step % 6))
+			if step%15 == 0 {
+				m.Heard()
+			}
+		}, false},
+		"long work on new connections": {0, func(m *contact.Monitor, step int) {
+			m.Dialing(address(step % 6))
+			m.Connected(address(step % 6))
+		}, false},
+	}
+	for name, test := range tests {
+		Convey("Given "+name, t, func() {
+			synctest.Test(t, func(t *testing.T) {
+				n := &network{answering: test.answering}
+				m := n.start(t)
+				for step := range 100 {
+					test.evidence(m, step)
+					time.Sleep(10 * time.Millisecond)
+				}
+				if m.IsLost() != test.isLost {
+					t.Errorf("%s: lost = %t, want %t", name, m.IsLost(), test.isLost)
+				}
+			})
+		})
+	}
+}
+
+// TestDetectionTime guards against a VM that notices late that it reaches no upstream: callers keep an answer for three times its
+// lifetime, and what is sent until then fails.
+func TestDetectionTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &network{}
+		m := n.start(t)
+		start := time.Now()
+		for i := range 4 {
+			m.Polled(address(i))
+		}
+		<-m.Lost()
+		if took := time.Since(start); took > 500*time.Millisecond {
+			t.Errorf("noticed after %s, want at most 500ms", took)
+		}
+	})
+}
+
+// TestReturn guards against a VM that counts as back after a single answer, that flaps, or that doesn't come back.
+func TestReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &network{}
+		m := n.start(t)
+		for i := range 4 {
+			m.Polled(address(i))
+		}
+		<-m.Lost()
+		n.answering = 1
+		time.Sleep(5 * time.Second)
+		if !m.IsLost() {
+			t.Error("one answer of eight counts as contact")
+		}
+		n.answering = sampled / 2
+		time.Sleep(2 * time.Second)
+		if m.IsLost() || n.changes != 2 {
+			t.Errorf("lost = %t after 2 s with contact, %d changes; want false, 2", m.IsLost(), n.changes)
+		}
+		select {
+		case <-m.Lost():
+			t.Error("channel of the next loss is closed")
+		default:
+		}
+	})
+}
+
+// TestProbeRate guards against a VM that probes without pause while many upstreams have failed and others answer.
+func TestProbeRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &network{answering: sampled}
+		m := n.start(t)
+		for step := range 1000 {
+			m.Polled(address(step % 6))
+			time.Sleep(10 * time.Millisecond)
+		}
+		if n.probes > 20 {
+			t.Errorf("%d probes in 10 s, want at most 20", n.probes)
+		}
+	})
+}
--- a/exchange/answer.go
+++ b/exchange/answer.go
@@ -38,7 +38,7 @@
 		}
 		return res
 	}
-	if a.echo && a.dialect.IsAltered(resp) {
+	if a.kind == kindRequest && a.dialect.IsAltered(resp) {
 		return unknown(Mismatched, outcome.Mismatched, "answer is not the upstream's own")
 	}
 	var res Result
@@ -61,7 +61,7 @@
 		return false
 	}
 	ids := resp.Header[a.dialect.RequestID]
-	if !a.echo && len(ids) == 0 {
+	if a.kind != kindRequest && len(ids) == 0 {
 		return true
 	}
 	return len(ids) == 1 && ids[0] == a.request.ID
--- a/exchange/attempt.go
+++ b/exchange/attempt.go
@@ -34,6 +34,17 @@
 
 var errInterim = errors.New("too many informational answers")
 
+// kind is the kind of an exchange.
+type kind int
+
+const (
+	// kindRequest marks a request of a caller, whose answer has to echo its identifier.
+	kindRequest kind = iota
+	// kindPoll marks a poll, and kindProbe a poll on a new connection.
+	kindPoll
+	kindProbe
+)
+
 // attempt sends a request over one connection at a time.
 type attempt struct {
 	pool      *connPool
@@ -43,8 +54,9 @@
 	request   *request.Request
 	upstream  declaration.Upstream
 	maxAnswer int
-	echo      bool
+	kind      kind
 	isPaused  func(upstream string) bool
+	observer  Observer
 
 	conn   *conn
 	reused bool
@@ -63,13 +75,16 @@
 	if err != nil {
 		return unsent(outcome.BadRequest, err.Error()), false
 	}
-	if a.conn, a.reused, err = a.pool.get(ctx, a.caller, a.upstream.Address); err != nil {
+	if err := a.connect(ctx); err != nil {
 		return a.resultWithoutAnswer(ctx, err)
 	}
 	if a.isPaused != nil && a.isPaused(a.upstream.Name) {
 		a.pool.put(a.conn, 0)
 		return unsent(outcome.Refused, "upstream wants no requests at present"), false
 	}
+	if a.kind != kindRequest {
+		a.observer.Polled(a.upstream.Address)
+	}
 	a.conn.begin(a.request.Deadline)
 	// The end of the context interrupts reads and writes in progress. The connection is not reused after that.
 	c := a.conn
@@ -91,6 +106,16 @@
 	return res, false
 }
 
+// connect sets conn and reused.
+func (a *attempt) connect(ctx context.Context) (err error) {
+	if a.kind == kindProbe {
+		a.conn, err = a.pool.connectBeyondShare(ctx, a.upstream.Address)
+		return err
+	}
+	a.conn, a.reused, err = a.pool.get(ctx, a.caller, a.upstream.Address)
+	return err
+}
+
 // roundTrip writes the request and reads the headers of its answer; written reports whether the whole request was written.
 func (a *attempt) roundTrip(ctx context.Context, cancel context.CancelFunc, req *http.Request) (resp *http.Response, written func() bool, err error) {
 	if len(a.request.Body) <= maxSyncBody {
@@ -121,6 +146,7 @@
 		if err := a.conn.awaitResponse(); err != nil {
 			return nil, err
 		}
+		a.observer.Heard()
 		a.beginMessage(ctx, cancel)
 		resp, err := a.conn.readResponse(req)
 		switch {
--- a/exchange/exchanger.go
+++ b/exchange/exchanger.go
@@ -21,6 +21,7 @@
 	bodies      *buffer.Budget
 	// isPaused reports whether the upstream wants no requests; it is nil if upstreams can't tell.
 	isPaused func(upstream string) bool
+	observer Observer
 
 	mu    sync.RWMutex
 	pools map[string]*connPool
@@ -52,7 +53,7 @@
 // NewWithDialect returns an exchanger like that of New for upstreams with the given dialect. The bodies of unfinished answers
 // are held within the budget.
 func NewWithDialect(connections func(service string) int, d Dialect, bodies *buffer.Budget) *Exchanger {
-	return &Exchanger{connections: connections, dialect: &d, bodies: bodies, pools: make(map[string]*connPool)}
+	return &Exchanger{connections: connections, dialect: &d, bodies: bodies, observer: unobserved{}, pools: make(map[string]*connPool)}
 }
 
 // SetPaused sets the function that reports whether the upstream wants no requests at present. A request that has waited for a
@@ -61,16 +62,21 @@
 	e.isPaused = isPaused
 }
 
+// SetObserver sets the observer. It must be called before the first request.
+func (e *Exchanger) SetObserver(o Observer) {
+	e.observer = o
+}
+
 // Do sends the request to the upstream at most once and returns the result. A body of more than maxAnswer bytes counts as
 // truncated. Do returns at the latest at the request's deadline plus the time to check whether the upstream has died.
 func (e *Exchanger) Do(ctx context.Context, r *request.Request, up declaration.Upstream, maxAnswer int) Result {
-	return e.do(ctx, ctx, r, up, maxAnswer, true)
+	return e.do(ctx, ctx, r, up, maxAnswer, kindRequest)
 }
 
 // DoFor is like Do for a caller whose context is done once it has left. The request is not sent after that. If it has been
 // sent, its answer is awaited, but one that has begun is no longer read after a short time.
 func (e *Exchanger) DoFor(ctx, caller context.Context, r *request.Request, up declaration.Upstream, maxAnswer int) Result {
-	return e.do(ctx, caller, r, up, maxAnswer, true)
+	return e.do(ctx, caller, r, up, maxAnswer, kindRequest)
 }
 
 // Health requests the state from the upstream's health endpoint. The connection counts toward this process's share of
@@ -80,7 +86,7 @@
 		ID: "health", Service: service, Kind: "health", Method: http.MethodGet, Idempotent: true,
 		Deadline: time.Now().Add(healthTimeout),
 	}
-	res := e.do(ctx, ctx, r, up, maxHealthBody, false)
+	res := e.do(ctx, ctx, r, up, maxHealthBody, kindPoll)
 	a, ok := res.Outcome.(outcome.Answered)
 	if !ok {
 		return "", errors.Newf("exchange: health of %s: %s: %+v", up.Name, res.Class, res.Outcome)
@@ -93,7 +99,21 @@
 
 // Poll sends a request whose answer need not echo the request identifier, and returns the result.
 func (e *Exchanger) Poll(ctx context.Context, r *request.Request, up declaration.Upstream) Result {
-	return e.do(ctx, ctx, r, up, maxHealthBody, false)
+	return e.do(ctx, ctx, r, up, maxHealthBody, kindPoll)
+}
+
+// Probe is like Poll on a new connection, for which it doesn't wait if the share of connections is used up.
+func (e *Exchanger) Probe(ctx context.Context, r *request.Request, up declaration.Upstream) Result {
+	return e.do(ctx, ctx, r, up, maxHealthBody, kindProbe)
+}
+
+// CancelDials ends the dials in progress, so that their requests fail as not sent.
+func (e *Exchanger) CancelDials() {
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	for _, p := range e.pools {
+		p.cancelDials()
+	}
 }
 
 // CloseBroken closes the idle connections that the upstreams have closed, or on which they have sent anything.
@@ -114,11 +134,11 @@
 	}
 }
 
-func (e *Exchanger) do(ctx, caller context.Context, r *request.Request, up declaration.Upstream, maxAnswer int, echo bool) Result {
+func (e *Exchanger) do(ctx, caller context.Context, r *request.Request, up declaration.Upstream, maxAnswer int, k kind) Result {
 	if !time.Now().Before(r.Deadline) {
 		return unsent(outcome.DeadlineUnreachable, "deadline has passed")
 	}
-	if reason := e.dialect.check(r, echo); reason != "" {
+	if reason := e.dialect.check(r, k == kindRequest); reason != "" {
 		return unsent(outcome.BadRequest, reason)
 	}
 	share := e.connections(r.Service)
@@ -134,8 +154,8 @@
 	p := e.pool(r.Service)
 	p.setShare(share)
 	a := attempt{
-		pool: p, dialect: e.dialect, bodies: e.bodies, caller: caller, request: r, upstream: up, maxAnswer: maxAnswer, echo: echo,
-		isPaused: e.isPaused,
+		pool: p, dialect: e.dialect, bodies: e.bodies, caller: caller, request: r, upstream: up, maxAnswer: maxAnswer, kind: k,
+		isPaused: e.isPaused, observer: e.observer,
 	}
 	for try := 1; ; try++ {
 		res, stale := a.run(ctx)
@@ -155,7 +175,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.pools[service] == nil {
-		e.pools[service] = newConnPool()
+		e.pools[service] = newConnPool(e.observer)
 	}
 	return e.pools[service]
 }
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -45,9 +45,13 @@
 
 // connPool holds the connections to the upstreams of one service.
 type connPool struct {
-	dialer net.Dialer
+	dialer   net.Dialer
+	observer Observer
 
 	mu sync.Mutex
+	// dialing is the context of the dials in progress, and cancelDialing ends them.
+	dialing       context.Context
+	cancelDialing context.CancelFunc
 	// share is the maximum number of connections to each upstream.
 	share int
 	// open counts the connections to each address: those being dialed, in use, idle or just closed.
@@ -61,11 +65,21 @@
 	closed  bool
 }
 
-func newConnPool() *connPool {
-	return &connPool{
-		dialer: net.Dialer{Timeout: dialTimeout}, open: make(map[string]int), idle: make(map[string][]*conn),
+func newConnPool(o Observer) *connPool {
+	p := &connPool{
+		dialer: net.Dialer{Timeout: dialTimeout}, observer: o, open: make(map[string]int), idle: make(map[string][]*conn),
 		changed: make(chan struct{}),
 	}
+	p.dialing, p.cancelDialing = context.WithCancel(context.Background())
+	return p
+}
+
+// cancelDials ends the dials in progress.
+func (p *connPool) cancelDials() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cancelDialing()
+	p.dialing, p.cancelDialing = context.WithCancel(context.Background())
 }
 
 // setShare sets the share of connections to each upstream, and closes the idle connections that exceed it.
@@ -229,16 +243,31 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
+	p.mu.Lock()
+	stop := context.AfterFunc(p.dialing, cancel)
+	p.mu.Unlock()
+	defer stop()
+	p.observer.Dialing(address)
 	inner, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		p.release(address)
 		return nil, &dialError{cause: err}
 	}
+	p.observer.Connected(address)
 	return newConn(inner, address, func() {
 		time.AfterFunc(releaseDelay, func() { p.release(address) })
 	}), nil
 }
 
+// connectBeyondShare is like connect for a connection that was not reserved, and that closes after its use if it exceeds the
+// share.
+func (p *connPool) connectBeyondShare(ctx context.Context, address string) (*conn, error) {
+	p.mu.Lock()
+	p.open[address]++
+	p.mu.Unlock()
+	return p.connect(ctx, address)
+}
+
 // refusesConnection reports whether the address refuses a new connection.
 func (p *connPool) refusesConnection(address string) bool {
 	time.Sleep(deathCheckPause)
--- /dev/null
+++ b/gateway/contact.go
@@ -0,0 +1,89 @@
+package gateway
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/fulmarhitch/fulmarhitch/contact"
+	"github.com/fulmarhitch/fulmarhitch/declaration"
+	"github.com/fulmarhitch/fulmarhitch/exchange"
+	"github.com/fulmarhitch/fulmarhitch/request"
+	"github.com/fulmarhitch/fulmarhitch/roster"
+)
+
+const (
+	// probeSize is the number of upstreams that are asked to find out whether this VM reaches any.
+	probeSize = 8
+	// maxProbeTime bounds a probe whose context has no earlier end.
+	maxProbeTime = time.Second
+)
+
+// probeTarget is an upstream with the path of its health endpoint.
+type probeTarget struct {
+	upstream   roster.Upstream
+	healthPath string
+}
+
+// probeUpstreams polls a sample of upstreams on new connections.
+func (g *Gateway) probeUpstreams(ctx context.Context) contact.Probe {
+	targets := g.probeTargets()
+	answered := make(chan bool, len(targets))
+	for _, t := range targets {
+		go func() { answered <- g.probeUpstream(ctx, t) }()
+	}
+	p := contact.Probe{Asked: len(targets)}
+	for range targets {
+		if <-answered {
+			p.Answered++
+		}
+	}
+	return p
+}
+
+// probeTargets returns upstreams of as many services as possible at random.
+func (g *Gateway) probeTargets() []probeTarget {
+	set := g.mirror.Rules()
+	if set == nil {
+		return nil
+	}
+	services := slices.Collect(maps.Keys(set.Services))
+	rand.Shuffle(len(services), func(i, j int) { services[i], services[j] = services[j], services[i] })
+	var lists [][]roster.Upstream
+	for _, s := range services {
+		list := slices.Clone(g.roster.Usable(s))
+		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+		lists = append(lists, list)
+	}
+	var targets []probeTarget
+	for round, isExhausted := 0, false; !isExhausted; round++ {
+		isExhausted = true
+		for i, list := range lists {
+			if len(targets) == probeSize {
+				return targets
+			}
+			if round < len(list) {
+				isExhausted = false
+				targets = append(targets, probeTarget{list[round], set.Services[services[i]].HealthPath})
+			}
+		}
+	}
+	return targets
+}
+
+// probeUpstream reports whether the upstream answers a poll on a new connection.
+func (g *Gateway) probeUpstream(ctx context.Context, t probeTarget) bool {
+	u := t.upstream
+	r := &request.Request{
+		Service: u.Service, Method: http.MethodGet, Path: t.healthPath, Host: u.Address, Idempotent: true,
+		Deadline: time.Now().Add(maxProbeTime),
+	}
+	res := g.exchanger.Probe(ctx, r, declaration.Upstream{Name: u.ID, Address: u.Address})
+	return res.Class == exchange.Answered || res.Class == exchange.Refused
+}
+
+// updateContact passes on that the contact with upstreams was lost or is back.
+func (g *Gateway) updateContact() {}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/fulmarhitch/fulmarhitch/asynclog"
 	"github.com/fulmarhitch/fulmarhitch/buffer"
 	"github.com/fulmarhitch/fulmarhitch/condition"
+	"github.com/fulmarhitch/fulmarhitch/contact"
 	"github.com/fulmarhitch/fulmarhitch/crash"
 	"github.com/fulmarhitch/fulmarhitch/directory"
 	"github.com/fulmarhitch/fulmarhitch/exchange"
@@ -84,6 +85,7 @@
 	bodies       *buffer.Budget
 	exchanger    *exchange.Exchanger
 	sampler      *sampler.Sampler
+	contact      *contact.Monitor
 	mirror       *mirror.Mirror
 	ingress      *ingress.Server
 	registration *registration.Registration
@@ -170,6 +172,8 @@
 	g.bodies = buffer.ForProcess(s.Memory, s.BodyMemory, g.log)
 	g.exchanger = exchange.NewWithDialect(g.connectionShare, g.config.UpstreamDialect, g.bodies)
 	g.exchanger.SetPaused(func(upstream string) bool { return g.notices.IsPaused(upstream, time.Now()) })
+	g.contact = contact.New(contact.Config{Known: g.roster.Len, Probe: g.probeUpstreams, OnChange: g.updateContact, Log: g.log})
+	g.exchanger.SetObserver(g.contact)
 	g.sampler = sampler.New(g.exchanger, g.conditions, g.notices, g.pollShare)
 	g.crashGuard = crash.New(g.config.Store, g.log)
 	g.mirror = mirror.New(mirror.Config{
@@ -191,6 +195,7 @@
 	g.registration = registration.New(g.config.Store, g.fleet.Self(), g.membership.ShouldRegister, g.fleet.IsListed, func() uint64 { return g.mirror.Position().Era }, g.log)
 	g.kernel.Register("mirror", g.mirror)
 	g.kernel.Register("crash-reports", kernel.NewWorker(g.crashGuard.RunReports))
+	g.kernel.Register("contact", kernel.NewWorker(g.contact.Run))
 	g.kernel.Register("housekeeping", kernel.NewWorker(g.runHousekeeping))
 	if l.metrics != nil {
 		g.kernel.Register("metrics", newEndpoint(l.metrics, metrics.Handler(), maxQueryBytes))
@@ -225,6 +230,12 @@
 		Polls:      func() float64 { return float64(g.sampler.Polls()) },
 		StoreCalls: g.config.Store.Calls,
 		Notices:    g.notices.Counts,
+		HasContact: func() float64 {
+			if g.contact.IsLost() {
+				return 0
+			}
+			return 1
+		},
 		BodyBytes:  func() float64 { return float64(g.bodies.Used()) },
 		Evictions:  func() float64 { return float64(g.bodies.Evictions()) },
 		LogDropped: func() float64 { return float64(g.logWriter.Dropped()) },
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -32,6 +32,8 @@
 	StoreCalls func() map[string]uint64
 	// Notices returns the numbers of upstreams for which a notice holds, by its kind. It may be nil.
 	Notices func() map[string]uint64
+	// HasContact returns 1 if the VM reaches upstreams, else 0. It may be nil.
+	HasContact func() float64
 }
 
 // Metrics are the metrics of one process. Its methods are safe for concurrent use.
@@ -72,6 +74,9 @@
 		m.registerFunc("store_revision", "Revision of the store up to which its entries are known.", func() float64 { _, revision := s.Position(); return revision })
 	}
 	m.registerFunc("upstreams", "Known upstreams.", s.Upstreams)
+	if s.HasContact != nil {
+		m.registerFunc("upstream_contact", "Whether this VM reaches any upstream (1) or none (0).", s.HasContact)
+	}
 	m.registerFunc("vms", "Known VMs.", s.VMs)
 	m.registerFunc("questions_total", "Questions to health endpoints.", s.Polls)
 	m.registerFunc("body_bytes", "Memory held by bodies of requests and answers.", s.BodyBytes)
