--- a/faultproxy/faultproxy.go
+++ b/faultproxy/faultproxy.go
@@ -35,14 +35,15 @@
 
 // Proxy is a proxy with one target. It is safe for concurrent use.
 type Proxy struct {
-	listener net.Listener
-	target   string
+	// address is the address of the listener, and target the one to connect to.
+	address, target string
 
-	mu      sync.Mutex
-	changed *sync.Cond
-	mode    Mode
-	closed  bool
-	open    map[*net.TCPConn]bool
+	mu       sync.Mutex
+	listener net.Listener
+	changed  *sync.Cond
+	mode     Mode
+	closed   bool
+	open     map[*net.TCPConn]bool
 }
 
 // New returns a running proxy to the target, an IP address and port, in the mode Forwarding.
@@ -51,14 +52,14 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "link")
 	}
-	p := &Proxy{listener: listener, target: target, open: make(map[*net.TCPConn]bool)}
+	p := &Proxy{listener: listener, address: listener.Addr().String(), target: target, open: make(map[*net.TCPConn]bool)}
 	p.changed = sync.NewCond(&p.mu)
-	go p.accept()
+	go p.accept(listener)
 	return p, nil
 }
 
 // Address returns the address on which the proxy accepts connections to the target.
-func (p *Proxy) Address() string { return p.listener.Addr().String() }
+func (p *Proxy) Address() string { return p.address }
 
 // Set changes the mode. Bytes that were held back are forwarded once the mode allows it.
 func (p *Proxy) Set(m Mode) {
@@ -71,11 +72,28 @@
 	p.changed.Broadcast()
 }
 
+// SetRefusing closes the listener, so that new connections are refused while the open ones live, or opens it again. It returns an
+// error if the port has been taken meanwhile.
+func (p *Proxy) SetRefusing(isRefusing bool) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if isRefusing {
+		return errors.Wrap(p.listener.Close(), "link")
+	}
+	listener, err := net.Listen("tcp", p.address)
+	if err != nil {
+		return errors.Wrap(err, "link")
+	}
+	p.listener = listener
+	go p.accept(listener)
+	return nil
+}
+
 // Close stops the proxy and resets its connections.
 func (p *Proxy) Close() {
-	_ = p.listener.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	_ = p.listener.Close()
 	p.closed = true
 	p.resetAll()
 	p.changed.Broadcast()
@@ -90,9 +108,9 @@
 	}
 }
 
-func (p *Proxy) accept() {
+func (p *Proxy) accept(listener net.Listener) {
 	for {
-		c, err := p.listener.Accept()
+		c, err := listener.Accept()
 		if err != nil {
 			return
 		}
