Keep the port of a proxy that refuses connections

Seen: TestCutOffFromUpstreams reported a non-idempotent request that ran twice, once in 20 runs of which ten ran at the same time. A proxy that refuses connections closed its listener, so that a proxy of another test process could get the port, and gateways sent their requests there; upstreams and requests of all processes have the same names. TestRefusing checks the proxy.

--- a/faultproxy/faultproxy.go
+++ b/faultproxy/faultproxy.go
@@ -3,7 +3,9 @@
 import (
 	"io"
 	"net"
+	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -40,10 +42,12 @@
 
 	mu       sync.Mutex
 	listener net.Listener
-	changed  *sync.Cond
-	mode     Mode
-	closed   bool
-	open     map[*net.TCPConn]bool
+	// held is the socket that holds the port while connections are refused, or 0.
+	held    int
+	changed *sync.Cond
+	mode    Mode
+	closed  bool
+	open    map[*net.TCPConn]bool
 }
 
 // New returns a running proxy to the target, an IP address and port, in the mode Forwarding.
@@ -78,7 +82,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if isRefusing {
-		return errors.Wrap(p.listener.Close(), "link")
+		if err := p.listener.Close(); err != nil {
+			return errors.Wrap(err, "link")
+		}
+		var err error
+		p.held, err = holdPort(p.address)
+		return errors.Wrap(err, "link")
 	}
 	listener, err := net.Listen("tcp", p.address)
 	if err != nil {
@@ -86,7 +95,38 @@
 	}
 	p.listener = listener
 	go p.accept(listener)
-	return nil
+	return errors.Wrap(p.releasePort(), "link")
+}
+
+// holdPort returns a socket that is bound to the address without listening, so that connections are refused and no other process
+// gets the port.
+func holdPort(address string) (socket int, err error) {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return 0, err
+	}
+	socket, err = syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return 0, err
+	}
+	err = syscall.SetsockoptInt(socket, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
+	if err == nil {
+		err = syscall.Bind(socket, &syscall.SockaddrInet4{Port: int(a.Port()), Addr: a.Addr().As4()})
+	}
+	if err != nil {
+		return 0, errors.CombineErrors(err, syscall.Close(socket))
+	}
+	return socket, nil
+}
+
+// releasePort closes the socket that holds the port, if there is one; the caller holds mu.
+func (p *Proxy) releasePort() error {
+	if p.held == 0 {
+		return nil
+	}
+	socket := p.held
+	p.held = 0
+	return syscall.Close(socket)
 }
 
 // Close stops the proxy and resets its connections.
@@ -94,6 +134,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	_ = p.listener.Close()
+	_ = p.releasePort()
 	p.closed = true
 	p.resetAll()
 	p.changed.Broadcast()
--- a/faultproxy/faultproxy_test.go
+++ b/faultproxy/faultproxy_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/fulmarhitch/fulmarhitch/faultproxy"
@@ -78,3 +80,32 @@
 		})
 	}
 }
+
+// TestRefusing guards against a proxy that refuses connections and breaks the open ones, or whose port another process may get.
+func TestRefusing(t *testing.T) {
+	Convey("Given a proxy with an open connection that refuses new ones", t, func() {
+		target, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		defer target.Close()
+		p, err := faultproxy.New(target.Addr().String())
+		So(err, ShouldBeNil)
+		defer p.Close()
+		open, err := net.Dial("tcp", p.Address())
+		So(err, ShouldBeNil)
+		defer open.Close()
+		far, err := target.Accept()
+		So(err, ShouldBeNil)
+		defer far.Close()
+		So(p.SetRefusing(true), ShouldBeNil)
+		_, err = net.Dial("tcp", p.Address())
+		So(errors.Is(err, syscall.ECONNREFUSED), ShouldBeTrue)
+		_, err = open.Write([]byte("x"))
+		So(err, ShouldBeNil)
+		_, err = io.ReadFull(far, make([]byte, 1))
+		So(err, ShouldBeNil)
+		So(p.SetRefusing(false), ShouldBeNil)
+		again, err := net.Dial("tcp", p.Address())
+		So(err, ShouldBeNil)
+		So(again.Close(), ShouldBeNil)
+	})
+}
