Pass requests to other VMs while a VM reaches no upstream

Cause: a VM treated each upstream as failed for itself. It never concluded that it is cut off itself, no other VM knew, callers were sent to it all the time, and nothing else could serve their requests.

A VM that lost contact (package contact) now says so in its reports. Answers to look-ups name VMs that reach upstreams, and VMs of other failure domains if fewer than a third of the local ones do; all of them if no VM does. Requests that still come are passed to a VM that reaches upstreams (package detour), one hop at most: never after they may have arrived at an upstream, unless they are idempotent and the retry budget covers it. The other VM refuses if it is cut off too, if its rules are older, if it is about to end, or if the request is meant for an earlier owner of its address; only then another one is asked. That an upstream leaves is recorded by both VMs. VMs that are cut off don't share limits, polls and retries, and come back without saved-up retries.

The dial of an upstream no longer counts as an answer to an earlier poll of it.

--- a/contact/contact.go
+++ b/contact/contact.go
@@ -19,8 +19,15 @@
 	// minSilence is the time without an answer after which a poll or a dial counts as evidence. Round trips take some 20 ms at
 	// most.
 	minSilence = 200 * time.Millisecond
-	// minAddresses is the number of upstreams without an answer that are needed for a probe, if as many are known.
-	minAddresses = 4
+	// minSilent is the number of upstreams without an answer that calls for a probe while none answers, and minUnconnected the
+	// number of those that can't be connected to while others answer on connections that were open before. Fewer suffice if
+	// fewer are known.
+	minSilent      = 2
+	minUnconnected = 2
+	// firstSample is the number of upstreams that are asked first while others answer on connections that were open before, and
+	// wholeSample the number that are asked to find out whether the VM reaches any.
+	firstSample = 2
+	wholeSample = 8
 	// probeTimeout bounds a probe.
 	probeTimeout = 200 * time.Millisecond
 	// probePause is the time between a probe that found contact and the next one, and retryInterval the mean time between two
@@ -42,8 +49,9 @@
 type Config struct {
 	// Known returns the number of known upstreams.
 	Known func() int
-	// Probe asks a sample of upstreams of all services on new connections and returns once all have answered or ctx is done.
-	Probe func(ctx context.Context) Probe
+	// Probe asks at most n upstreams of as many services as possible on new connections and returns once all have answered or
+	// ctx is done.
+	Probe func(ctx context.Context, n int) Probe
 	// OnChange is called after the contact was lost or is back.
 	OnChange func()
 	Log      *logrus.Entry
@@ -54,9 +62,9 @@
 	config Config
 
 	mu sync.Mutex
-	// unanswered holds the times of the first poll or dial of each address since the last answer of any upstream, and
-	// unconnected those of the first dial since the last connection to any.
-	unanswered, unconnected map[string]time.Time
+	// polled holds the times of the first poll of each address since the last answer of any upstream, and dialed those of the
+	// first dial since the last connection to any.
+	polled, dialed map[string]time.Time
 	// lost is closed while there is no contact, and replaced when there is again.
 	lost   chan struct{}
 	isLost bool
@@ -67,7 +75,7 @@
 // New returns a monitor that assumes contact.
 func New(c Config) *Monitor {
 	return &Monitor{
-		config: c, unanswered: make(map[string]time.Time), unconnected: make(map[string]time.Time), lost: make(chan struct{}),
+		config: c, polled: make(map[string]time.Time), dialed: make(map[string]time.Time), lost: make(chan struct{}),
 		lastHeard: time.Now(),
 	}
 }
@@ -90,24 +98,21 @@
 func (m *Monitor) Polled(address string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	addFirst(m.unanswered, address)
+	addFirst(m.polled, address)
 }
 
 // Dialing records that a connection to the address is being opened.
 func (m *Monitor) Dialing(address string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	addFirst(m.unanswered, address)
-	addFirst(m.unconnected, address)
+	addFirst(m.dialed, address)
 }
 
 // Connected records that a connection to the address was opened.
-func (m *Monitor) Connected(address string) {
+func (m *Monitor) Connected(string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	// The upstream may work on the request for a long time before it answers.
-	delete(m.unanswered, address)
-	clear(m.unconnected)
+	clear(m.dialed)
 }
 
 // Heard records an answer of an upstream.
@@ -115,7 +120,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.lastHeard = time.Now()
-	clear(m.unanswered)
+	clear(m.polled)
 }
 
 // addFirst sets the time of an address that has none.
@@ -136,10 +141,11 @@
 			m.forget()
 			continue
 		}
-		if !m.isSuspect(now) {
+		silent, unconnected := m.isSuspect(now)
+		if !silent && !unconnected {
 			continue
 		}
-		if p := m.probe(ctx); p.Asked > 0 && p.Answered == 0 && time.Since(now) < probeTimeout+maxCheckGap {
+		if p, isLost := m.confirm(ctx, silent); isLost {
 			m.recover(ctx, p)
 		} else {
 			m.forget()
@@ -149,37 +155,58 @@
 	}
 }
 
+// confirm probes whether the VM reaches no upstream. If others answer on open connections, it asks few first.
+func (m *Monitor) confirm(ctx context.Context, silent bool) (p Probe, isLost bool) {
+	samples := []int{firstSample, wholeSample}
+	if silent {
+		samples = []int{wholeSample}
+	}
+	for _, n := range samples {
+		began := time.Now()
+		p = m.probe(ctx, n)
+		// The process may have been paused during the probe.
+		if p.Asked == 0 || p.Answered > 0 || time.Since(began) > probeTimeout+maxCheckGap {
+			return p, false
+		}
+	}
+	return p, ctx.Err() == nil
+}
+
 // forget drops the evidence, whose age is not known after a pause of the process.
 func (m *Monitor) forget() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	clear(m.unanswered)
-	clear(m.unconnected)
+	clear(m.polled)
+	clear(m.dialed)
 }
 
-// isSuspect reports whether the evidence calls for a probe.
-func (m *Monitor) isSuspect(now time.Time) bool {
-	needed := min(max(m.config.Known(), 1), minAddresses)
+// isSuspect reports whether the evidence calls for a probe: because no upstream answers, or because none can be connected to.
+func (m *Monitor) isSuspect(now time.Time) (isSilent, isUnconnected bool) {
+	known := max(m.config.Known(), 1)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return countOld(m.unanswered, now) >= needed || countOld(m.unconnected, now) >= needed
-}
-
-// countOld returns the number of times that are older than minSilence.
-func countOld(times map[string]time.Time, now time.Time) int {
-	n := 0
-	for _, t := range times {
+	silent, unconnected := 0, 0
+	for _, t := range m.polled {
 		if now.Sub(t) >= minSilence {
-			n++
+			silent++
 		}
 	}
-	return n
+	for address, t := range m.dialed {
+		if now.Sub(t) < minSilence {
+			continue
+		}
+		unconnected++
+		if _, isPolled := m.polled[address]; !isPolled && !t.Before(m.lastHeard) {
+			silent++
+		}
+	}
+	return silent >= min(known, minSilent), unconnected >= min(known, minUnconnected)
 }
 
-func (m *Monitor) probe(ctx context.Context) Probe {
+func (m *Monitor) probe(ctx context.Context, n int) Probe {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	return m.config.Probe(ctx)
+	return m.config.Probe(ctx, n)
 }
 
 // recover records that the contact is lost and probes until it is back or ctx is done.
@@ -189,7 +216,7 @@
 	close(m.lost)
 	began := time.Now()
 	fields := logrus.Fields{
-		"unanswered": len(m.unanswered), "unconnected": len(m.unconnected), "silent-ms": began.Sub(m.lastHeard).Milliseconds(),
+		"polled": len(m.polled), "dialed": len(m.dialed), "silent-ms": began.Sub(m.lastHeard).Milliseconds(),
 		"asked": p.Asked,
 	}
 	m.mu.Unlock()
@@ -197,12 +224,14 @@
 	m.config.OnChange()
 	// The jitter keeps the VMs of a partition from returning at the same time.
 	for succeeded := 0; succeeded < minProbes && backoff.Sleep(ctx, retryInterval/2+rand.N(retryInterval)); {
-		p = m.probe(ctx)
+		p = m.probe(ctx, wholeSample)
+		succeeded++
 		if p.Asked > 0 && p.Answered < min(p.Asked, minReached) {
 			succeeded = 0
-			continue
 		}
-		succeeded++
+	}
+	if ctx.Err() != nil {
+		return
 	}
 	m.forget()
 	m.mu.Lock()
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -13,9 +13,6 @@
 const (
 	// MaxAddresses is the largest number of addresses of an answer; the platform's protocol lets callers use no more.
 	MaxAddresses = 64
-	// minLocal is the number of VMs in the caller's failure domain below which VMs of other failure domains are added, so
-	// that a caller has an alternative if one VM fails.
-	minLocal = 2
 )
 
 // Answer is the answer to a caller that looks up addresses.
@@ -28,27 +25,18 @@
 
 // New returns the answer for a caller in the failure domain.
 //
-// It holds only VMs that serve callers, and only those of the caller's failure domain if there are enough of them: requests
-// then reach upstreams of that failure domain without crossing to another. If there are too many VMs, callers get
+// It holds only VMs that serve callers and reach upstreams, and only those of the caller's failure domain if there are enough of
+// them: requests then reach upstreams of that failure domain without crossing to another. If there are too many VMs, callers get
 // different ones, but each caller mostly the same ones while the fleet changes, so that it can keep its connections.
 func New(vms []fleet.VM, failureDomain, caller string, lifetime time.Duration) Answer {
-	var local, remote []string
-	for _, vm := range vms {
-		switch {
-		case !vm.Serving:
-		case vm.FailureDomain == failureDomain:
-			local = append(local, vm.Address)
-		default:
-			remote = append(remote, vm.Address)
-		}
+	var addresses []string
+	for _, vm := range fleet.Reaching(vms, failureDomain) {
+		addresses = append(addresses, vm.Address)
 	}
-	if len(local) < minLocal {
-		local = append(local, remote...)
-	}
-	if len(local) > MaxAddresses {
+	if len(addresses) > MaxAddresses {
 		weight := func(address string) uint64 { return xxhash.Sum64String(caller + "\x00" + address) }
-		slices.SortFunc(local, func(a, b string) int { return cmp.Compare(weight(a), weight(b)) })
-		local = local[:MaxAddresses]
+		slices.SortFunc(addresses, func(a, b string) int { return cmp.Compare(weight(a), weight(b)) })
+		addresses = addresses[:MaxAddresses]
 	}
-	return Answer{Addresses: local, Lifetime: lifetime}
+	return Answer{Addresses: addresses, Lifetime: lifetime}
 }
--- a/exchange/exchanger.go
+++ b/exchange/exchanger.go
@@ -22,6 +22,8 @@
 	// isPaused reports whether the upstream wants no requests; it is nil if upstreams can't tell.
 	isPaused func(upstream string) bool
 	observer Observer
+	// dialTimeout bounds the time to open a connection.
+	dialTimeout time.Duration
 
 	mu    sync.RWMutex
 	pools map[string]*connPool
@@ -53,7 +55,7 @@
 // NewWithDialect returns an exchanger like that of New for upstreams with the given dialect. The bodies of unfinished answers
 // are held within the budget.
 func NewWithDialect(connections func(service string) int, d Dialect, bodies *buffer.Budget) *Exchanger {
-	return &Exchanger{connections: connections, dialect: &d, bodies: bodies, observer: unobserved{}, pools: make(map[string]*connPool)}
+	return &Exchanger{connections: connections, dialect: &d, bodies: bodies, observer: unobserved{}, dialTimeout: dialTimeout, pools: make(map[string]*connPool)}
 }
 
 // SetPaused sets the function that reports whether the upstream wants no requests at present. A request that has waited for a
@@ -62,6 +64,11 @@
 	e.isPaused = isPaused
 }
 
+// SetDialTimeout sets the bound on the time to open a connection. It must be called before the first request.
+func (e *Exchanger) SetDialTimeout(d time.Duration) {
+	e.dialTimeout = d
+}
+
 // SetObserver sets the observer. It must be called before the first request.
 func (e *Exchanger) SetObserver(o Observer) {
 	e.observer = o
@@ -175,7 +182,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.pools[service] == nil {
-		e.pools[service] = newConnPool(e.observer)
+		e.pools[service] = newConnPool(e.dialTimeout, e.observer)
 	}
 	return e.pools[service]
 }
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// dialTimeout is long compared to the 1 ms that a connection takes and short compared to the deadlines of requests.
+	// dialTimeout is the default bound on the time to open a connection. It is long compared to the 1 ms that a connection takes and short compared to the deadlines of requests.
 	dialTimeout = time.Second
 	// idleTimeout is below the 60 s after which servers commonly close idle connections, so that a request is rarely sent
 	// on a connection that is being closed.
@@ -65,7 +65,7 @@
 	closed  bool
 }
 
-func newConnPool(o Observer) *connPool {
+func newConnPool(dialTimeout time.Duration, o Observer) *connPool {
 	p := &connPool{
 		dialer: net.Dialer{Timeout: dialTimeout}, observer: o, open: make(map[string]int), idle: make(map[string][]*conn),
 		changed: make(chan struct{}),
@@ -241,7 +241,7 @@
 		p.release(address)
 		return nil, &dialError{cause: err}
 	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	ctx, cancel := context.WithTimeout(ctx, p.dialer.Timeout)
 	defer cancel()
 	p.mu.Lock()
 	stop := context.AfterFunc(p.dialing, cancel)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -23,6 +23,8 @@
 	LinkRate float64
 	// Serving reports whether the VM serves callers.
 	Serving bool
+	// CutOff reports whether the VM reaches no upstream.
+	CutOff bool
 }
 
 // Fleet is the set of known VMs. It is safe for concurrent use.
@@ -35,11 +37,12 @@
 	present    map[string]VM
 	// list and the two fields after it follow from the others. list is nil after a change, until it is used.
 	list []VM
-	// local is the number of VMs of list in this VM's failure domain.
-	local   int
-	relays  []VM
-	serving bool
-	leaving bool
+	// sharers and localSharers are the numbers of VMs that share the limits of the fleet, and of those of them in this VM's
+	// failure domain.
+	sharers, localSharers int
+	relays                []VM
+	serving, cutOff       bool
+	leaving               bool
 	// storedSize is the size of the fleet that the store states, or 0 if it isn't known.
 	storedSize int
 	// sizeLost reports that the store no longer states a size.
@@ -56,12 +59,12 @@
 	return f.self
 }
 
-// SetServing records whether this VM serves callers.
-func (f *Fleet) SetServing(serving bool) {
+// SetState records whether this VM serves callers and whether it reaches no upstream.
+func (f *Fleet) SetState(serving, cutOff bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.serving != serving {
-		f.serving = serving
+	if f.serving != serving || f.cutOff != cutOff {
+		f.serving, f.cutOff = serving, cutOff
 		f.list = nil
 	}
 }
@@ -125,16 +128,17 @@
 	return max(len(f.list), f.storedSize)
 }
 
-// Size returns the number of VMs, and of those in this VM's failure domain. Until the VMs have listed themselves, the number
-// is the size that the store states if that is larger.
-func (f *Fleet) Size() (vms, local int) {
+// Sharers returns the number of VMs that share the limits of the fleet, and of those in this VM's failure domain: this VM and those
+// that reach upstreams. If this VM reaches none, all VMs count, because the others may reach none either. Until the VMs have listed
+// themselves, the number is the size that the store states if that is larger.
+func (f *Fleet) Sharers() (vms, local int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.rebuild()
 	if len(f.present) == 0 {
-		return max(len(f.list), f.storedSize), max(f.local, f.storedSize)
+		return max(f.sharers, f.storedSize), max(f.localSharers, f.storedSize)
 	}
-	return len(f.list), f.local
+	return f.sharers, f.localSharers
 }
 
 // IsListed reports whether the store lists the present incarnation of this VM.
@@ -232,7 +236,7 @@
 	return found
 }
 
-// rebuild sets list, local and relays unless they are valid; the caller holds mu.
+// rebuild sets list, relays and the numbers of sharers unless they are valid; the caller holds mu.
 func (f *Fleet) rebuild() {
 	if f.list != nil {
 		return
@@ -251,16 +255,21 @@
 	delete(vms, f.self.Name)
 	if !f.leaving {
 		self := f.self
-		self.Serving = f.serving
+		self.Serving, self.CutOff = f.serving, f.cutOff
 		vms[self.Name] = self
 	}
-	list, local := make([]VM, 0, len(vms)), 0
+	list := make([]VM, 0, len(vms))
+	f.sharers, f.localSharers = 0, 0
 	for _, vm := range vms {
 		list = append(list, vm)
+		if vm.CutOff && !f.cutOff {
+			continue
+		}
+		f.sharers++
 		if vm.FailureDomain == f.self.FailureDomain {
-			local++
+			f.localSharers++
 		}
 	}
 	slices.SortFunc(list, func(a, b VM) int { return strings.Compare(a.Name, b.Name) })
-	f.list, f.local, f.relays = list, local, relays
+	f.list, f.relays = list, relays
 }
--- a/forwarder/choose.go
+++ b/forwarder/choose.go
@@ -66,6 +66,9 @@
 		return nil, outcome.NotRun{Reason: outcome.Cancelled}
 	}
 	for round := 0; ; round++ {
+		if r.isCutOff() {
+			return nil, outcome.NotRun{Reason: outcome.CutOff}
+		}
 		c := r.choose(round%roundsPerFar == 0)
 		if r.hasLeft() {
 			return nil, outcome.NotRun{Reason: outcome.Cancelled}
--- a/forwarder/config.go
+++ b/forwarder/config.go
@@ -6,6 +6,7 @@
 
 	"github.com/fulmarhitch/fulmarhitch/condition"
 	"github.com/fulmarhitch/fulmarhitch/declaration"
+	"github.com/fulmarhitch/fulmarhitch/detour"
 	"github.com/fulmarhitch/fulmarhitch/exchange"
 	"github.com/fulmarhitch/fulmarhitch/notice"
 	"github.com/fulmarhitch/fulmarhitch/quota"
@@ -45,6 +46,24 @@
 	Retries *Retries
 	// Quarantine refuses requests that crash upstreams; it may be nil.
 	Quarantine Quarantine
+	// Contact tells whether the VM reaches upstreams, and Detour passes requests to other VMs while it doesn't; both may be nil.
+	Contact Contact
+	Detour  Detour
+}
+
+// Contact tells whether the VM reaches any upstream.
+type Contact interface {
+	// IsLost reports whether it reaches none.
+	IsLost() bool
+	// Lost returns a channel that is closed while it reaches none, or at the next time that it doesn't.
+	Lost() <-chan struct{}
+}
+
+// Detour passes requests to other VMs.
+type Detour interface {
+	// DoFor passes the request to VMs until one doesn't refuse it, and returns its result. The version is that of the rules by which
+	// the request was accepted.
+	DoFor(ctx, caller context.Context, r *request.Request, version uint64, maxAnswerBytes int) detour.Result
 }
 
 // Quarantine identifies requests that crash the upstreams that run them.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -40,6 +40,9 @@
 	index  int
 	result exchange.Result
 	took   time.Duration
+	// vm is the VM that the request was passed to, or empty, and upstream is the one that answered there.
+	vm       string
+	upstream roster.Upstream
 }
 
 // run is the state of one request while it is being forwarded.
@@ -54,6 +57,9 @@
 	// inFlight is the number of attempts in progress.
 	inFlight int
 	results  chan attemptResult
+	// isPaid reports whether the retry budget covers that the request is passed to another VM after it may have arrived at an
+	// upstream.
+	isPaid bool
 	// fallback is the outcome to return if no attempt succeeds.
 	fallback outcome.Outcome
 	// ctx is the context of the attempts, which may outlive the caller's. abort cancels it; it is called while attempts
@@ -72,17 +78,27 @@
 	if f.config.Quarantine != nil && f.config.Quarantine.IsQuarantined(j.Request) {
 		return Result{Outcome: outcome.NotRun{Reason: outcome.Quarantined}}
 	}
-	f.config.Retries.Earn(j.Request.Service)
-	r := &run{Forwarder: f, job: j, caller: ctx, results: make(chan attemptResult, max(j.Rule.Attempts, 1))}
+	r := &run{Forwarder: f, job: j, caller: ctx, results: make(chan attemptResult, max(j.Rule.Attempts, 1)+1)}
 	r.ctx, r.abort = context.WithDeadline(context.WithoutCancel(ctx), j.Request.Deadline)
 	out := r.serve(ctx)
+	if r.mayPassOn(out) {
+		out = r.passOn(ctx)
+	} else if _, notRun := out.(outcome.NotRun); notRun && r.isCutOff() && !r.wasSent() {
+		// A VM that passed the request on may ask another one.
+		out = outcome.NotRun{Reason: outcome.CutOff}
+	}
+	r.release()
 	return Result{Outcome: out, Attempts: r.attempts}
 }
 
+// serve sends the request to upstreams.
 func (r *run) serve(ctx context.Context) outcome.Outcome {
+	if r.isCutOff() {
+		return outcome.NotRun{Reason: outcome.CutOff}
+	}
+	r.config.Retries.Earn(r.job.Request.Service)
 	c, refused := r.acquire(ctx)
 	if refused != nil {
-		r.abort()
 		return refused
 	}
 	r.send(c, false)
@@ -90,38 +106,32 @@
 	defer hedge.Stop()
 	deadline := time.NewTimer(time.Until(r.job.Request.Deadline))
 	defer deadline.Stop()
+	lost := r.lostContact()
 	for {
 		select {
+		case <-lost:
+			lost = nil
+			if r.payPassOn() {
+				return outcome.Unknown{Reason: outcome.ConnectionLost, Detail: "contact with the upstreams was lost"}
+			}
 		case res := <-r.results:
 			if out := r.handleResult(res); out != nil {
-				r.detach()
 				return out
 			}
 		case <-hedge.C:
 			r.hedge()
 		case <-deadline.C:
-			r.detach()
 			return outcome.Unknown{Reason: outcome.Timeout, Detail: "no answer by the deadline"}
 		case <-ctx.Done():
-			return r.abandon()
+			return outcome.Unknown{Reason: outcome.Cancelled, Detail: "caller left"}
 		}
 	}
 }
 
-// abandon ends a request whose caller has disconnected. Attempts of an idempotent request are cancelled; others run to
-// their end, because it could not be determined how far a cancelled one had come.
-func (r *run) abandon() outcome.Outcome {
-	if r.job.Rule.Idempotent {
-		r.abort()
-	} else {
-		r.detach()
-	}
-	return outcome.Unknown{Reason: outcome.Cancelled, Detail: "caller left"}
-}
-
-// detach lets the attempts in progress run to their end and then releases their context.
-func (r *run) detach() {
-	if r.inFlight == 0 {
+// release releases the context of the attempts: at once if none is in progress, or if the caller of an idempotent request has left,
+// else when they have ended. It could not be determined how far a cancelled attempt had come.
+func (r *run) release() {
+	if r.inFlight == 0 || r.job.Rule.Idempotent && r.caller.Err() != nil {
 		r.abort()
 		return
 	}
@@ -134,15 +144,21 @@
 	}()
 }
 
-// handleResult records the result of an attempt and returns the final outcome, or nil if another attempt is in progress.
-func (r *run) handleResult(res attemptResult) outcome.Outcome {
+// record records the end of an attempt and returns its answer, if there is one.
+func (r *run) record(res attemptResult) (answer outcome.Answered, ok bool) {
 	r.inFlight--
 	a := &r.attempts[res.index]
 	a.Took, a.Class = res.took, res.result.Class
-	if answer, ok := res.result.Outcome.(outcome.Answered); ok {
-		a.Status = answer.Status
+	answer, ok = res.result.Outcome.(outcome.Answered)
+	a.Status = answer.Status
+	return answer, ok
+}
+
+// handleResult records the result of an attempt and returns the final outcome, or nil if another attempt is in progress.
+func (r *run) handleResult(res attemptResult) outcome.Outcome {
+	if answer, ok := r.record(res); ok {
 		if answer.Status < http.StatusInternalServerError {
-			r.config.Times.Add(r.job.Rule, a.Took, a.expectedTime)
+			r.config.Times.Add(r.job.Rule, res.took, r.attempts[res.index].expectedTime)
 		}
 		if answer.Status < http.StatusInternalServerError || !r.job.Rule.Idempotent {
 			return answer
@@ -165,6 +181,9 @@
 
 // retry sends the request again after a failed attempt, if an upstream has a free slot and the budget allows it.
 func (r *run) retry() {
+	if r.isCutOff() {
+		return
+	}
 	c := r.choose(true)
 	if c != nil && !r.hasLeft() && selection.FreeSlots(c.Candidate) > 0 && r.config.Retries.Spend(r.job.Request.Service, false) && r.takeQuota(c) {
 		r.send(c, false)
@@ -221,7 +240,7 @@
 // hedge sends the request to a second upstream with a free slot and an acceptable cost, which is expected to answer before
 // the first one, if the budget allows it.
 func (r *run) hedge() {
-	if !r.mayRunTwice() || r.inFlight == 0 {
+	if !r.mayRunTwice() || r.inFlight == 0 || r.isCutOff() {
 		return
 	}
 	c := r.choose(true)
--- a/forwarder/job.go
+++ b/forwarder/job.go
@@ -22,7 +22,10 @@
 type Attempt struct {
 	// Upstream is where the request was sent, and Near reports whether it is in the VM's own failure domain. The next
 	// fields hold the condition of the upstream at that time, and Cost is the cost by which it was chosen.
-	Upstream    roster.Upstream
+	Upstream roster.Upstream
+	// VM is the VM that the request was passed to in place of an upstream, or empty. Upstream is then the one that answered there
+	// without its service and address, and the fields of the condition are not set.
+	VM          string
 	Near        bool
 	Load        exchange.Load
 	LoadAge     time.Duration
@@ -55,4 +58,8 @@
 	// HasLeft reports whether the caller has closed its connection, which a busy VM finds out earlier than by the context
 	// passed to Serve; it may be nil.
 	HasLeft func() bool
+	// RulesVersion is the version of the rules to which Rule belongs.
+	RulesVersion uint64
+	// Passed reports whether another VM has passed the request on; it is then not passed on again.
+	Passed bool
 }
--- a/gateway/contact.go
+++ b/gateway/contact.go
@@ -15,12 +15,8 @@
 	"github.com/fulmarhitch/fulmarhitch/roster"
 )
 
-const (
-	// probeSize is the number of upstreams that are asked to find out whether this VM reaches any.
-	probeSize = 8
-	// maxProbeTime bounds a probe whose context has no earlier end.
-	maxProbeTime = time.Second
-)
+// maxProbeTime bounds a probe whose context has no earlier end.
+const maxProbeTime = time.Second
 
 // probeTarget is an upstream with the path of its health endpoint.
 type probeTarget struct {
@@ -28,9 +24,9 @@
 	healthPath string
 }
 
-// probeUpstreams polls a sample of upstreams on new connections.
-func (g *Gateway) probeUpstreams(ctx context.Context) contact.Probe {
-	targets := g.probeTargets()
+// probeUpstreams polls at most n upstreams on new connections.
+func (g *Gateway) probeUpstreams(ctx context.Context, n int) contact.Probe {
+	targets := g.probeTargets(n)
 	answered := make(chan bool, len(targets))
 	for _, t := range targets {
 		go func() { answered <- g.probeUpstream(ctx, t) }()
@@ -44,8 +40,8 @@
 	return p
 }
 
-// probeTargets returns upstreams of as many services as possible at random.
-func (g *Gateway) probeTargets() []probeTarget {
+// probeTargets returns at most n upstreams of as many services as possible at random.
+func (g *Gateway) probeTargets(n int) []probeTarget {
 	set := g.mirror.Rules()
 	if set == nil {
 		return nil
@@ -62,7 +58,7 @@
 	for round, isExhausted := 0, false; !isExhausted; round++ {
 		isExhausted = true
 		for i, list := range lists {
-			if len(targets) == probeSize {
+			if len(targets) == n {
 				return targets
 			}
 			if round < len(list) {
@@ -85,5 +81,12 @@
 	return res.Class == exchange.Answered || res.Class == exchange.Refused
 }
 
-// updateContact passes on that the contact with upstreams was lost or is back.
-func (g *Gateway) updateContact() {}
+// updateContact tells other VMs that the contact with upstreams was lost or is back, and ends dials that wait in vain.
+func (g *Gateway) updateContact() {
+	g.membership.Update(time.Now())
+	g.divideLimits()
+	g.mirror.Interrupt()
+	if g.contact.IsLost() {
+		g.exchanger.CancelDials()
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/fulmarhitch/fulmarhitch/condition"
 	"github.com/fulmarhitch/fulmarhitch/contact"
 	"github.com/fulmarhitch/fulmarhitch/crash"
+	"github.com/fulmarhitch/fulmarhitch/detour"
 	"github.com/fulmarhitch/fulmarhitch/directory"
 	"github.com/fulmarhitch/fulmarhitch/exchange"
 	"github.com/fulmarhitch/fulmarhitch/fleet"
@@ -86,6 +87,7 @@
 	exchanger    *exchange.Exchanger
 	sampler      *sampler.Sampler
 	contact      *contact.Monitor
+	detour       *detour.Detour
 	mirror       *mirror.Mirror
 	ingress      *ingress.Server
 	registration *registration.Registration
@@ -133,7 +135,7 @@
 	g.vms = presence.New(self, g.updateList)
 	g.peerClient = relay.NewClient(g.vms)
 	g.membership = membership.New(membership.Config{
-		Store: c.Store, Decode: c.Decode, Fleet: g.fleet, Table: g.vms, IsReady: g.isReady, Log: g.log,
+		Store: c.Store, Decode: c.Decode, Fleet: g.fleet, Table: g.vms, IsReady: g.isReady, IsCutOff: g.isCutOff, Log: g.log,
 		Seeds:  s.Seeds,
 		Follow: func(vm fleet.VM) mirror.Source { return relay.NewPeer(g.peerClient, vm.PeerAddress) },
 	})
@@ -174,6 +176,10 @@
 	g.exchanger.SetPaused(func(upstream string) bool { return g.notices.IsPaused(upstream, time.Now()) })
 	g.contact = contact.New(contact.Config{Known: g.roster.Len, Probe: g.probeUpstreams, OnChange: g.updateContact, Log: g.log})
 	g.exchanger.SetObserver(g.contact)
+	g.detour = detour.New(detour.Config{
+		VM: s.Name, FailureDomain: s.FailureDomain, VMs: g.fleet.List, Dialect: g.config.UpstreamDialect, Bodies: g.bodies,
+		Log: g.log,
+	})
 	g.sampler = sampler.New(g.exchanger, g.conditions, g.notices, g.pollShare)
 	g.crashGuard = crash.New(g.config.Store, g.log)
 	g.mirror = mirror.New(mirror.Config{
@@ -184,11 +190,12 @@
 	})
 	metrics := telemetry.New(g.metricSources())
 	g.ingress = ingress.New(l.callers, ingress.Config{
-		Dialect: g.config.CallerDialect,
+		VM: s.Name, Dialect: g.config.CallerDialect,
 		Forwarder: forwarder.New(forwarder.Config{
 			VM: s.Name, FailureDomain: s.FailureDomain, Roster: g.roster, Conditions: g.conditions, Notices: g.notices, Quotas: g.quotas, Transport: g.exchanger,
 			Sampler: g.sampler, Retries: g.retries, Times: forwarder.NewTimes(),
 			Pressure: forwarder.NewPressure(), Quarantine: g.crashGuard,
+			Contact: g.contact, Detour: g.detour,
 		}),
 		Rules: g.mirror.Rules, RulesAge: g.mirror.Age, MaxRulesAge: s.RulesDelay, Bodies: g.bodies, Pick: g.splitter.Pick, Metrics: metrics, Log: g.log,
 	})
@@ -247,6 +254,11 @@
 	return !g.leaving.Load() && g.mirror.Rules() != nil && g.roster.Len() > 0
 }
 
+// isCutOff reports whether the VM reaches no upstream.
+func (g *Gateway) isCutOff() bool {
+	return g.contact.IsLost()
+}
+
 // updateList takes over the list that the VMs make of themselves.
 func (g *Gateway) updateList(vms []fleet.VM) {
 	g.fleet.SetPresent(vms)
@@ -286,6 +298,7 @@
 func (g *Gateway) Close(ctx context.Context) error {
 	err := g.kernel.Stop(ctx)
 	g.exchanger.Close()
+	g.detour.Close()
 	g.peerClient.Close()
 	g.logWriter.Close()
 	return err
--- a/gateway/housekeeping.go
+++ b/gateway/housekeeping.go
@@ -79,7 +79,12 @@
 // divideLimits divides the fleet-wide limits among the VMs, and drops the splitter's state of rules that are no longer in
 // force.
 func (g *Gateway) divideLimits() {
-	g.retries.SetBurst(g.allotment().Burst(g.settings.Load().RetryBurst, time.Now()))
+	burst := g.allotment().Burst(g.settings.Load().RetryBurst, time.Now())
+	if g.contact.IsLost() {
+		// The VMs that reach upstreams share the budget meanwhile, so this one must not come back with savings.
+		burst = 0
+	}
+	g.retries.SetBurst(burst)
 	g.sampler.UpdateLimits()
 	g.quotas.SetVMs(g.fleet.Settled())
 	if set := g.mirror.Rules(); set != nil {
@@ -89,7 +94,7 @@
 
 // allotment returns the fleet for the division of its limits.
 func (g *Gateway) allotment() allotment.Fleet {
-	vms, local := g.fleet.Size()
+	vms, local := g.fleet.Sharers()
 	return allotment.Fleet{VM: g.fleet.Self().Name, VMs: vms, LocalVMs: local}
 }
 
--- a/header/header.go
+++ b/header/header.go
@@ -25,6 +25,13 @@
 	Load = "Upstream-Load"
 	// State holds an upstream's state: ready, cold or draining.
 	State = "Upstream-State"
+	// Detour names, in a request that a VM passes on, the VM that it is meant for. In an answer, it marks a refusal after which
+	// another VM may be asked.
+	Detour = "Fulmarhitch-Detour"
+	// RulesVersion holds the version of the rules by which a VM accepted a request that it passes on.
+	RulesVersion = "Fulmarhitch-Rules-Version"
+	// Upstream names the upstream whose answer is passed back to the VM that passed the request on.
+	Upstream = "Fulmarhitch-Upstream"
 
 	protocolPrefix = "Fulmarhitch-"
 )
@@ -36,9 +43,11 @@
 	return filter(h, func(name string) bool { return isHopByHop(name) || allowsResend(name) || isProtocolHeader(name) })
 }
 
-// Transparent returns the headers of h without the hop-by-hop ones.
+// Transparent returns the headers of h without the hop-by-hop ones, among them those between VMs.
 func Transparent(h http.Header) http.Header {
-	return filter(h, isHopByHop)
+	return filter(h, func(name string) bool {
+		return isHopByHop(name) || name == Detour || name == RulesVersion || name == Upstream
+	})
 }
 
 // filter returns the headers for which drop returns false and which the Connection header doesn't name.
--- a/ingress/config.go
+++ b/ingress/config.go
@@ -27,6 +27,8 @@
 
 // Config holds the dependencies of a server.
 type Config struct {
+	// VM is the name of the VM.
+	VM        string
 	Dialect   Dialect
 	Forwarder Forwarder
 	// Rules returns the routing rules in force, or nil if none are known.
--- a/ingress/handle.go
+++ b/ingress/handle.go
@@ -13,6 +13,7 @@
 
 	"github.com/fulmarhitch/fulmarhitch/buffer"
 	"github.com/fulmarhitch/fulmarhitch/forwarder"
+	"github.com/fulmarhitch/fulmarhitch/header"
 	"github.com/fulmarhitch/fulmarhitch/keepalive"
 	"github.com/fulmarhitch/fulmarhitch/outcome"
 	"github.com/fulmarhitch/fulmarhitch/request"
@@ -43,6 +44,8 @@
 	text   string
 	// retryAfter is the delay after which the caller may try again, or 0.
 	retryAfter time.Duration
+	// isUntried reports that the request was not sent to any upstream, so that a VM that passed it on may ask another one.
+	isUntried bool
 }
 
 // serve answers one request.
@@ -74,6 +77,9 @@
 		s.config.Metrics.Attempt(job.Rule.Name, string(a.Class), a.Hedge)
 	}
 	s.logRequest(job, res, took)
+	if job.Passed {
+		setUpstream(w.Header(), res.Attempts)
+	}
 	s.writeOutcome(w, r, res.Outcome)
 }
 
@@ -82,7 +88,11 @@
 	var noJob forwarder.Job
 	set := s.config.Rules()
 	if set == nil || s.refusing.Load() {
-		return noJob, &errorResponse{http.StatusServiceUnavailable, "not-ready: no rules are known, or the VM stops", retryAfterUnready}
+		return noJob, untried("not-ready: no rules are known, or the VM stops", retryAfterUnready)
+	}
+	isPassed, resp := s.checkPassed(r, set)
+	if resp != nil {
+		return noJob, resp
 	}
 	id := r.Header.Get(s.config.Dialect.RequestID)
 	if id == "" {
@@ -93,7 +103,7 @@
 	}
 	rule := set.Find(r.Host, r.URL.EscapedPath())
 	if rule == nil && s.config.RulesAge() > s.config.MaxRulesAge {
-		return noJob, &errorResponse{http.StatusServiceUnavailable, "not-ready: no rule for this host and path, and newer rules may exist", retryAfterUnready}
+		return noJob, untried("not-ready: no rule for this host and path, and newer rules may exist", retryAfterUnready)
 	}
 	if rule == nil {
 		return noJob, &errorResponse{status: http.StatusNotFound, text: "no rule for host " + strconv.Quote(r.Host) + " and this path"}
@@ -103,7 +113,7 @@
 		return noJob, resp
 	}
 	if s.endsBefore(deadline) {
-		return noJob, &errorResponse{http.StatusServiceUnavailable, "stopping: the VM ends before the deadline", retryAfterRefusal}
+		return noJob, untried("stopping: the VM ends before the deadline", retryAfterRefusal)
 	}
 	body, resp := s.readBody(w, r, set, deadline)
 	if resp != nil {
@@ -118,7 +128,8 @@
 			Path: r.RequestURI, Header: r.Header, Body: body, Deadline: deadline, Idempotent: rule.Idempotent,
 		},
 		Rule: rule, HealthPath: set.Services[service].HealthPath, Arrived: arrived,
-		HasLeft: func() bool { return keepalive.HasLeft(r.Context()) },
+		HasLeft:      func() bool { return keepalive.HasLeft(r.Context()) },
+		RulesVersion: set.Version, Passed: isPassed,
 	}, nil
 }
 
@@ -162,7 +173,7 @@
 	case errors.Is(err, buffer.ErrTooLarge):
 		return nil, &errorResponse{status: http.StatusRequestEntityTooLarge, text: "body exceeds " + strconv.FormatInt(limit, 10) + " bytes"}
 	case errors.Is(err, buffer.ErrEvicted):
-		return nil, &errorResponse{http.StatusServiceUnavailable, "too-large: no room for the body", retryAfterUnready}
+		return nil, untried("too-large: no room for the body", retryAfterUnready)
 	case err != nil:
 		return nil, &errorResponse{status: http.StatusBadRequest, text: "body: " + err.Error()}
 	}
@@ -193,20 +204,20 @@
 func (s *Server) writeOutcome(w http.ResponseWriter, r *http.Request, out outcome.Outcome) {
 	switch out := out.(type) {
 	case outcome.Answered:
-		header := w.Header()
+		h := w.Header()
 		for name, values := range out.Header {
-			header[name] = values
+			h[name] = values
 		}
-		if header["Content-Type"] == nil {
+		if h["Content-Type"] == nil {
 			// A nil entry keeps the HTTP server from detecting the content type.
-			header["Content-Type"] = nil
+			h["Content-Type"] = nil
 		}
 		defer s.config.Bodies.Take(int64(len(out.Body))).Close()
 		w.WriteHeader(out.Status)
 		// An error means that the caller disconnected, which also cancels the request's context.
 		_, _ = w.Write(out.Body)
 	case outcome.NotRun:
-		s.writeError(w, r, errorResponse{http.StatusServiceUnavailable, string(out.Reason), retryDelay(out)})
+		s.writeError(w, r, errorResponse{http.StatusServiceUnavailable, string(out.Reason), retryDelay(out), out.Reason == outcome.CutOff})
 	case outcome.Unknown:
 		switch out.Reason {
 		case outcome.Cancelled:
@@ -228,7 +239,7 @@
 	switch out.Reason {
 	case outcome.Refused:
 		return retryAfterRefusal
-	case outcome.NoUpstream:
+	case outcome.NoUpstream, outcome.CutOff:
 		return retryAfterUnready
 	default:
 		return retryAfterOverload
@@ -246,15 +257,18 @@
 
 // writeError sends an error response.
 func (s *Server) writeError(w http.ResponseWriter, r *http.Request, resp errorResponse) {
-	header := w.Header()
-	header.Set("Content-Type", "text/plain; charset=utf-8")
+	h := w.Header()
+	h.Set("Content-Type", "text/plain; charset=utf-8")
 	if id := r.Header.Get(s.config.Dialect.RequestID); id != "" {
-		header.Set(s.config.Dialect.RequestID, id)
+		h.Set(s.config.Dialect.RequestID, id)
 	}
 	if resp.retryAfter > 0 {
 		// Jitter keeps callers that were refused at the same time from retrying at the same time.
 		after := resp.retryAfter.Seconds() * (0.75 + 0.5*rand.Float64())
-		header.Set("Retry-After", strconv.FormatFloat(after, 'f', 3, 64))
+		h.Set("Retry-After", strconv.FormatFloat(after, 'f', 3, 64))
+	}
+	if resp.isUntried && r.Header.Get(header.Detour) != "" {
+		h.Set(header.Detour, "refused")
 	}
 	w.WriteHeader(resp.status)
 	// An error means that the caller disconnected.
@@ -289,6 +303,9 @@
 			"running": a.Load.Running, "waiting": a.Load.Waiting, "slots": a.Load.Slots, "slowdown": a.Load.Slowdown,
 			"report-age-ms": a.LoadAge.Milliseconds(), "failing": float64(int(a.FailureRate*100)) / 100,
 		}
+		if a.VM != "" {
+			fields["vm"] = a.VM
+		}
 		if a.HasLimit {
 			fields["limit"] = a.Limit
 		}
--- /dev/null
+++ b/ingress/passed.go
@@ -0,0 +1,47 @@
+package ingress
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/fulmarhitch/fulmarhitch/detour"
+	"github.com/fulmarhitch/fulmarhitch/exchange"
+	"github.com/fulmarhitch/fulmarhitch/forwarder"
+	"github.com/fulmarhitch/fulmarhitch/header"
+	"github.com/fulmarhitch/fulmarhitch/ruleset"
+)
+
+// untried returns the error response to a request that was not sent to any upstream.
+func untried(text string, retryAfter time.Duration) *errorResponse {
+	return &errorResponse{http.StatusServiceUnavailable, text, retryAfter, true}
+}
+
+// checkPassed reports whether another VM has passed the request on. It returns an error response if the request is meant for a VM
+// that had this address before, or if this VM's rules are older than those by which the request was accepted.
+func (s *Server) checkPassed(r *http.Request, set *ruleset.Set) (isPassed bool, resp *errorResponse) {
+	vm := r.Header.Get(header.Detour)
+	if vm == "" {
+		return false, nil
+	}
+	if vm != s.config.VM {
+		return true, untried("passed on to another VM", retryAfterRefusal)
+	}
+	version, err := strconv.ParseUint(r.Header.Get(header.RulesVersion), 10, 64)
+	if err != nil {
+		return true, &errorResponse{status: http.StatusBadRequest, text: "header " + header.RulesVersion + " is no version"}
+	}
+	if set.Version < version {
+		return true, untried("not-ready: the rules are older than those of the VM that passed the request on", retryAfterRefusal)
+	}
+	return true, nil
+}
+
+// setUpstream names the upstream that answered, if any, to the VM that passed the request on.
+func setUpstream(h http.Header, all []forwarder.Attempt) {
+	for _, a := range all {
+		if a.Class == exchange.Answered {
+			h[header.Upstream] = []string{detour.FormatUpstream(a.Upstream)}
+		}
+	}
+}
--- /dev/null
+++ b/ingress/passed_test.go
@@ -0,0 +1,83 @@
+package ingress_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fulmarhitch/fulmarhitch/forwarder"
+	"github.com/fulmarhitch/fulmarhitch/header"
+	"github.com/fulmarhitch/fulmarhitch/ingress"
+	"github.com/fulmarhitch/fulmarhitch/outcome"
+	"github.com/fulmarhitch/fulmarhitch/roster"
+	"github.com/fulmarhitch/fulmarhitch/ruleset"
+)
+
+// passedForwarder returns the same outcome for each request and records whether the last one was passed on.
+type passedForwarder struct {
+	out    outcome.Outcome
+	passed *bool
+}
+
+func (f passedForwarder) Serve(_ context.Context, j forwarder.Job) forwarder.Result {
+	*f.passed = j.Passed
+	return forwarder.Result{Outcome: f.out, Attempts: []forwarder.Attempt{
+		{Upstream: roster.Upstream{ID: "u1"}, Class: "refused"}, {Upstream: roster.Upstream{ID: "u2", StartedMS: 5}, Class: "answered"},
+	}}
+}
+
+// TestPassed guards against a passed request that is served by older rules or by a VM that it isn't meant for, and against a VM that is
+// told to ask another one although the request may have run.
+func TestPassed(t *testing.T) {
+	answered := outcome.Answered{Status: 200, Header: http.Header{}}
+	tests := map[string]struct {
+		vm, version string
+		out         outcome.Outcome
+		draining    bool
+		status      int
+		isRefused   bool
+		upstream    string
+	}{
+		"a caller's own":             {out: answered, status: 200},
+		"a caller's own, cut off":    {out: outcome.NotRun{Reason: outcome.CutOff}, status: 503},
+		"passed on":                  {vm: "vm", version: "1", out: answered, status: 200, upstream: "5 u2"},
+		"passed on, full":            {vm: "vm", version: "1", out: outcome.NotRun{Reason: outcome.QueueFull}, status: 503, upstream: "5 u2"},
+		"passed on, unknown":         {vm: "vm", version: "1", out: outcome.Unknown{Reason: outcome.ConnectionLost}, status: 502, upstream: "5 u2"},
+		"passed on, cut off too":     {vm: "vm", version: "1", out: outcome.NotRun{Reason: outcome.CutOff}, status: 503, isRefused: true, upstream: "5 u2"},
+		"passed on, older rules":     {vm: "vm", version: "2", out: answered, status: 503, isRefused: true},
+		"passed on, no version":      {vm: "vm", out: answered, status: 400},
+		"passed on to another VM":    {vm: "other", version: "1", out: answered, status: 503, isRefused: true},
+		"passed on to one that ends": {vm: "vm", version: "1", out: answered, draining: true, status: 503, isRefused: true},
+	}
+	for name, test := range tests {
+		Convey("Given a request: "+name, t, func() {
+			l, set, isPassed := listen(t), newRules(time.Second), false
+			c := newConfig(passedForwarder{test.out, &isPassed}, func() *ruleset.Set { return set })
+			c.VM = "vm"
+			s := ingress.New(l, c)
+			So(s.Start(t.Context()), ShouldBeNil)
+			defer func() { _ = s.Stop(t.Context()) }()
+			if test.draining {
+				s.Drain(time.Now())
+			}
+			req, err := http.NewRequest(http.MethodGet, "http://"+l.Addr().String()+"/x", nil)
+			So(err, ShouldBeNil)
+			req.Host = "h"
+			req.Header.Set(c.Dialect.RequestID, "r")
+			if test.vm != "" {
+				req.Header.Set(header.Detour, test.vm)
+				req.Header.Set(header.RulesVersion, test.version)
+			}
+			resp, err := http.DefaultClient.Do(req)
+			So(err, ShouldBeNil)
+			_ = resp.Body.Close()
+			So(resp.StatusCode, ShouldEqual, test.status)
+			So(resp.Header.Get(header.Detour) != "", ShouldEqual, test.isRefused)
+			So(resp.Header.Get(header.Upstream), ShouldEqual, test.upstream)
+			So(isPassed, ShouldEqual, test.status < 500 && test.status != 400 && test.vm != "" || test.upstream != "")
+		})
+	}
+}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -50,8 +50,8 @@
 	// Fleet holds the known VMs, and Table the list that they make of themselves.
 	Fleet *fleet.Fleet
 	Table *presence.Table
-	// IsReady reports whether this VM serves callers.
-	IsReady func() bool
+	// IsReady reports whether this VM serves callers, and IsCutOff whether it reaches no upstream.
+	IsReady, IsCutOff func() bool
 	// Seeds are addresses of VMs for other VMs, which may be known without the store. They may have ended.
 	Seeds []string
 	// Follow returns the VM as a source of entries.
@@ -206,9 +206,9 @@
 
 // Update updates what this VM tells others about itself, and whether it leads the list of VMs.
 func (m *Membership) Update(now time.Time) {
-	ready := m.config.IsReady()
-	m.config.Fleet.SetServing(ready)
-	m.config.Table.SetServing(ready)
+	ready, cutOff := m.config.IsReady(), m.config.IsCutOff()
+	m.config.Fleet.SetState(ready, cutOff)
+	m.config.Table.SetState(ready, cutOff)
 	m.config.Table.Lead(m.place().Tier == topology.Watcher, rand.Text(), now)
 	m.config.Table.Expire(now)
 }
--- a/notice/table.go
+++ b/notice/table.go
@@ -81,6 +81,25 @@
 	}
 }
 
+// RecordLeaving records that the upstream leaves, as another VM has been told.
+func (t *Table) RecordLeaving(u roster.Upstream) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	defer t.updateSize()
+	e := t.all[u.ID]
+	if e != nil && u.StartedMS < e.startedMS {
+		return
+	}
+	if e == nil || e.startedMS != u.StartedMS {
+		e = &entry{startedMS: u.StartedMS}
+		t.all[u.ID] = e
+	}
+	if !e.leaving {
+		e.leaving = true
+		t.log.WithField("upstream", u.ID).Info("upstream states to another VM that it leaves")
+	}
+}
+
 // recordLimit begins, changes, confirms or ends the limit.
 func (e *entry) recordLimit(n Notice, now time.Time, log *logrus.Entry) {
 	holds := e.hasLimit && e.limitEnd.IsZero()
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -38,6 +38,8 @@
 	Limited Reason = "limited"
 	// NoMemory marks a request whose body was cut off because the memory for bodies was used up.
 	NoMemory Reason = "no-memory"
+	// CutOff marks a request at a VM that reaches no upstream, and no other VM that does.
+	CutOff Reason = "cut-off"
 	// Cancelled marks a request whose caller disconnected.
 	Cancelled Reason = "cancelled"
 )
--- a/presence/table.go
+++ b/presence/table.go
@@ -99,12 +99,12 @@
 	}
 }
 
-// SetServing records whether this VM serves callers.
-func (t *Table) SetServing(serving bool) {
+// SetState records whether this VM serves callers and whether it reaches no upstream.
+func (t *Table) SetState(serving, cutOff bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.self.Serving != serving {
-		t.self.Serving = serving
+	if t.self.Serving != serving || t.self.CutOff != cutOff {
+		t.self.Serving, t.self.CutOff = serving, cutOff
 		t.schedule()
 	}
 }
@@ -313,7 +313,9 @@
 	latest := make(map[string]candidate)
 	for _, r := range t.reports {
 		for _, vm := range r.vms {
-			if c, exists := latest[vm.Name]; !exists || r.lastSeen.After(c.seen) {
+			c, exists := latest[vm.Name]
+			isLater := r.lastSeen.After(c.seen)
+			if !exists || isLater {
 				latest[vm.Name] = candidate{vm, r.lastSeen}
 			}
 		}
@@ -338,6 +340,7 @@
 			writeString(d, s)
 		}
 		writeString(d, map[bool]string{true: "serving"}[vm.Serving])
+		writeString(d, map[bool]string{true: "cut-off"}[vm.CutOff])
 	}
 	return d.Sum64()
 }
--- a/quota/keeper.go
+++ b/quota/keeper.go
@@ -59,12 +59,12 @@
 	return &Keeper{vm: vm, notices: notices, all: make(map[string]*share)}
 }
 
-// SetVMs replaces the VMs of the fleet, of which only those that serve callers count. While the list is empty, nothing may be
+// SetVMs replaces the VMs of the fleet, of which only those that serve callers and reach upstreams count. While the list is empty, nothing may be
 // sent to upstreams with a limit.
 func (k *Keeper) SetVMs(list []fleet.VM) {
 	vms := make(map[string][]string)
 	for _, vm := range list {
-		if vm.Serving {
+		if vm.Serving && !vm.CutOff {
 			vms[vm.FailureDomain] = append(vms[vm.FailureDomain], vm.Name)
 		}
 	}
--- a/relay/peer.go
+++ b/relay/peer.go
@@ -83,6 +83,8 @@
 	FailureDomain string  `json:"failure-domain"`
 	LinkRate      float64 `json:"link-rate,omitempty"`
 	Serving       bool    `json:"serving,omitempty"`
+	// CutOff is missing in messages of an earlier release, whose VMs don't detect it.
+	CutOff bool `json:"cut-off,omitempty"`
 }
 
 // codec is JSON for messages without a protobuf schema.
