Let the latest state of a VM win over older reports of it

Seen: in TestCutOffFromUpstreams, no request of three VMs was passed on for 3.3 s, because the fourth one, which reached upstreams, was listed as not serving. Cause: a VM that had followed another one is reported by both for a while, and the later report won, although the other one only repeated an older state; each change of its own state made it report again. VMs now count the changes of their state, and the highest count wins within an incarnation. TestOldState failed before.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -25,6 +25,8 @@
 	Serving bool
 	// CutOff reports whether the VM reaches no upstream.
 	CutOff bool
+	// Sequence counts the changes of Serving and CutOff in the incarnation.
+	Sequence uint64
 }
 
 // Fleet is the set of known VMs. It is safe for concurrent use.
--- a/presence/presence_test.go
+++ b/presence/presence_test.go
@@ -155,3 +155,37 @@
 		}
 	})
 }
+
+// TestOldState guards against a VM whose present state is hidden by an older one that another VM, which it followed before, still
+// reports.
+func TestOldState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		root, rs, ls := tree(1, 1)
+		leaf := ls[0]
+		report := func(from, to *node) {
+			time.Sleep(100 * time.Millisecond)
+			from.follow(to, false)
+		}
+		leaf.table.SetState(false, false)
+		report(leaf, rs[0])
+		leaf.table.SetState(true, false)
+		report(leaf, root)
+		rs[0].table.SetState(true, true)
+		report(rs[0], root)
+		time.Sleep(time.Second)
+		for _, vm := range root.list {
+			if vm.Name == leaf.vm.Name && !vm.Serving {
+				t.Errorf("%s is listed with an older state", vm.Name)
+			}
+		}
+		leaf.table.SetState(true, true)
+		report(leaf, rs[0])
+		report(rs[0], root)
+		time.Sleep(time.Second)
+		for _, vm := range root.list {
+			if vm.Name == leaf.vm.Name && !vm.CutOff {
+				t.Errorf("%s is listed with the state that it reported itself earlier", vm.Name)
+			}
+		}
+	})
+}
--- a/presence/table.go
+++ b/presence/table.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"hash"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -105,6 +106,7 @@
 	defer t.mu.Unlock()
 	if t.self.Serving != serving || t.self.CutOff != cutOff {
 		t.self.Serving, t.self.CutOff = serving, cutOff
+		t.self.Sequence++
 		t.schedule()
 	}
 }
@@ -304,7 +306,7 @@
 }
 
 // union returns this VM, unless it leaves, and all reported VMs by name; the caller holds mu. A VM that has moved from one
-// VM to another is reported by both for a while; the latest report counts.
+// VM to another is reported by both for a while; its latest state counts, or the latest report of two incarnations.
 func (t *Table) union() []fleet.VM {
 	type candidate struct {
 		vm   fleet.VM
@@ -315,6 +317,9 @@
 		for _, vm := range r.vms {
 			c, exists := latest[vm.Name]
 			isLater := r.lastSeen.After(c.seen)
+			if vm.Incarnation == c.vm.Incarnation && vm.Sequence != c.vm.Sequence {
+				isLater = vm.Sequence > c.vm.Sequence
+			}
 			if !exists || isLater {
 				latest[vm.Name] = candidate{vm, r.lastSeen}
 			}
@@ -341,6 +346,7 @@
 		}
 		writeString(d, map[bool]string{true: "serving"}[vm.Serving])
 		writeString(d, map[bool]string{true: "cut-off"}[vm.CutOff])
+		writeString(d, strconv.FormatUint(vm.Sequence, 10))
 	}
 	return d.Sum64()
 }
--- a/relay/convert.go
+++ b/relay/convert.go
@@ -42,7 +42,7 @@
 	for _, vm := range vms {
 		list = append(list, wireVM{
 			Name: vm.Name, Incarnation: vm.Incarnation, Address: vm.Address, PeerAddress: vm.PeerAddress,
-			FailureDomain: vm.FailureDomain, LinkRate: vm.LinkRate, Serving: vm.Serving, CutOff: vm.CutOff,
+			FailureDomain: vm.FailureDomain, LinkRate: vm.LinkRate, Serving: vm.Serving, CutOff: vm.CutOff, Sequence: vm.Sequence,
 		})
 	}
 	return list
@@ -53,7 +53,7 @@
 	for _, vm := range vms {
 		list = append(list, fleet.VM{
 			Name: vm.Name, Incarnation: vm.Incarnation, Address: vm.Address, PeerAddress: vm.PeerAddress,
-			FailureDomain: vm.FailureDomain, LinkRate: vm.LinkRate, Serving: vm.Serving, CutOff: vm.CutOff,
+			FailureDomain: vm.FailureDomain, LinkRate: vm.LinkRate, Serving: vm.Serving, CutOff: vm.CutOff, Sequence: vm.Sequence,
 		})
 	}
 	return list
--- a/relay/peer.go
+++ b/relay/peer.go
@@ -85,6 +85,8 @@
 	Serving       bool    `json:"serving,omitempty"`
 	// CutOff is missing in messages of an earlier release, whose VMs don't detect it.
 	CutOff bool `json:"cut-off,omitempty"`
+	// Sequence is missing there too.
+	Sequence uint64 `json:"sequence,omitempty"`
 }
 
 // codec is JSON for messages without a protobuf schema.
