Keep what upstreams state while their entries are missing

DRAIN: an upstream that had stated that it leaves got requests again once its entry in the store had been missing for half a second and was back, as after an outage or an unreadable entry of another writer: the housekeeping dropped the notices of upstreams that weren't known. Pauses (BUDGET) were dropped in the same way.

--- a/notice/table.go
+++ b/notice/table.go
@@ -10,8 +10,13 @@
 	"github.com/fulmarhitch/fulmarhitch/roster"
 )
 
-// endedPeriod is the time for which a limit that has ended is remembered, so that the load can return gradually.
-const endedPeriod = 5 * time.Second
+const (
+	// endedPeriod is the time for which a limit that has ended is remembered, so that the load can return gradually.
+	endedPeriod = 5 * time.Second
+	// unknownPeriod is the time for which the notices of an upstream are kept that is no longer known. Its entry may return, while
+	// an upstream that leaves goes on serving for many seconds.
+	unknownPeriod = 10 * time.Minute
+)
 
 // Table holds the notices of upstreams. It is safe for concurrent use.
 type Table struct {
@@ -35,6 +40,8 @@
 
 	leaving     bool
 	pausedUntil time.Time
+	// unknownSince is the time from which on the upstream isn't known, or zero.
+	unknownSince time.Time
 	// unreadable is the text of the last error that was logged.
 	unreadable string
 }
@@ -179,13 +186,18 @@
 	return counts
 }
 
-// Expire ends pauses whose time has passed, and drops ended limits and upstreams that are no longer known.
+// Expire ends pauses whose time has passed, and drops ended limits and upstreams that haven't been known for long.
 func (t *Table) Expire(isKnown func(id string) bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	defer t.updateSize()
 	for id, e := range t.all {
-		if !isKnown(id) {
+		switch {
+		case isKnown(id):
+			e.unknownSince = time.Time{}
+		case e.unknownSince.IsZero():
+			e.unknownSince = now
+		case now.Sub(e.unknownSince) > unknownPeriod:
 			delete(t.all, id)
 			continue
 		}
