Count an upstream that wants no requests as reached

A VM whose only other upstreams had failed took itself for cut off when the one that it reached had refused with a time for which it wants nothing: the probe opens a connection and then sends nothing, which counted as no answer. Callers were sent elsewhere and their requests passed on in vain.

--- a/gateway/contact.go
+++ b/gateway/contact.go
@@ -11,6 +11,7 @@
 	"github.com/fulmarhitch/fulmarhitch/contact"
 	"github.com/fulmarhitch/fulmarhitch/declaration"
 	"github.com/fulmarhitch/fulmarhitch/exchange"
+	"github.com/fulmarhitch/fulmarhitch/outcome"
 	"github.com/fulmarhitch/fulmarhitch/request"
 	"github.com/fulmarhitch/fulmarhitch/roster"
 )
@@ -78,7 +79,9 @@
 		Deadline: time.Now().Add(maxProbeTime),
 	}
 	res := g.exchanger.Probe(ctx, r, declaration.Upstream{Name: u.ID, Address: u.Address})
-	return res.Class == exchange.Answered || res.Class == exchange.Refused
+	out, isNotRun := res.Outcome.(outcome.NotRun)
+	// Nothing is sent to an upstream that wants no requests, but the connection to it was opened.
+	return res.Class == exchange.Answered || isNotRun && out.Reason == outcome.Refused
 }
 
 // updateContact tells other VMs that the contact with upstreams was lost or is back, and ends dials that wait in vain.
