--- a/contact/contact.go
+++ b/contact/contact.go
@@ -12,10 +12,12 @@
 )
 
 const (
-	// checkInterval is the time between two checks of the evidence.
-	checkInterval = 50 * time.Millisecond
-	// maxCheckGap is the time between two checks above which the process counts as having been paused.
-	maxCheckGap = 150 * time.Millisecond
+	// readTime is the time in which answers that have arrived are read, also after a pause of the process.
+	readTime = 50 * time.Millisecond
+	// maxGap is how much later than expected a wait may end. If it ends even later, the process was paused.
+	maxGap = 100 * time.Millisecond
+	// checkInterval is the time between two checks of evidence that doesn't suffice.
+	checkInterval = 100 * time.Millisecond
 	// minSilence is the time without an answer after which a poll or a dial counts as evidence. Round trips take some 20 ms at
 	// most.
 	minSilence = 200 * time.Millisecond
@@ -65,6 +67,9 @@
 	// polled holds the times of the first poll of each address since the last answer of any upstream, and dialed those of the
 	// first dial since the last connection to any.
 	polled, dialed map[string]time.Time
+	// check fires when the evidence is to be checked; it is armed while there is some.
+	check   *time.Timer
+	isArmed bool
 	// lost is closed while there is no contact, and replaced when there is again.
 	lost   chan struct{}
 	isLost bool
@@ -74,8 +79,10 @@
 
 // New returns a monitor that assumes contact.
 func New(c Config) *Monitor {
+	check := time.NewTimer(minSilence)
+	check.Stop()
 	return &Monitor{
-		config: c, polled: make(map[string]time.Time), dialed: make(map[string]time.Time), lost: make(chan struct{}),
+		config: c, polled: make(map[string]time.Time), dialed: make(map[string]time.Time), check: check, lost: make(chan struct{}),
 		lastHeard: time.Now(),
 	}
 }
@@ -98,14 +105,14 @@
 func (m *Monitor) Polled(address string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	addFirst(m.polled, address)
+	m.addFirst(m.polled, address)
 }
 
 // Dialing records that a connection to the address is being opened.
 func (m *Monitor) Dialing(address string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	addFirst(m.dialed, address)
+	m.addFirst(m.dialed, address)
 }
 
 // Connected records that a connection to the address was opened.
@@ -113,6 +120,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	clear(m.dialed)
+	m.disarm()
 }
 
 // Heard records an answer of an upstream.
@@ -121,28 +129,48 @@
 	defer m.mu.Unlock()
 	m.lastHeard = time.Now()
 	clear(m.polled)
+	m.disarm()
 }
 
-// addFirst sets the time of an address that has none.
-func addFirst(times map[string]time.Time, address string) {
-	if _, exists := times[address]; !exists {
-		times[address] = time.Now()
+// addFirst sets the time of an address that has none; the caller holds mu.
+func (m *Monitor) addFirst(times map[string]time.Time, address string) {
+	if _, exists := times[address]; exists {
+		return
+	}
+	times[address] = time.Now()
+	if !m.isArmed {
+		m.isArmed = true
+		m.check.Reset(minSilence)
+	}
+}
+
+// disarm stops the check if there is no evidence; the caller holds mu.
+func (m *Monitor) disarm() {
+	if m.isArmed && len(m.polled)+len(m.dialed) == 0 {
+		m.isArmed = false
+		m.check.Stop()
 	}
 }
 
 // Run checks the evidence until ctx is done.
 func (m *Monitor) Run(ctx context.Context) {
-	lastCheck := time.Now()
-	for backoff.Sleep(ctx, checkInterval) {
-		now := time.Now()
-		isPaused := now.Sub(lastCheck) > maxCheckGap
-		lastCheck = now
-		if isPaused {
-			m.forget()
-			continue
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.check.C:
+			began := time.Now()
+			if !backoff.Sleep(ctx, readTime) {
+				return
+			}
+			if time.Since(began) > readTime+maxGap {
+				m.forget()
+				continue
+			}
 		}
-		silent, unconnected := m.isSuspect(now)
+		silent, unconnected := m.isSuspect(time.Now())
 		if !silent && !unconnected {
+			m.rearm()
 			continue
 		}
 		if p, isLost := m.confirm(ctx, silent); isLost {
@@ -151,7 +179,16 @@
 			m.forget()
 			backoff.Sleep(ctx, probePause)
 		}
-		lastCheck = time.Now()
+	}
+}
+
+// rearm has the evidence checked again, if there is any.
+func (m *Monitor) rearm() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.isArmed = len(m.polled)+len(m.dialed) > 0
+	if m.isArmed {
+		m.check.Reset(checkInterval)
 	}
 }
 
@@ -165,7 +202,7 @@
 		began := time.Now()
 		p = m.probe(ctx, n)
 		// The process may have been paused during the probe.
-		if p.Asked == 0 || p.Answered > 0 || time.Since(began) > probeTimeout+maxCheckGap {
+		if p.Asked == 0 || p.Answered > 0 || time.Since(began) > probeTimeout+maxGap {
 			return p, false
 		}
 	}
@@ -178,6 +215,8 @@
 	defer m.mu.Unlock()
 	clear(m.polled)
 	clear(m.dialed)
+	m.isArmed = false
+	m.check.Stop()
 }
 
 // isSuspect reports whether the evidence calls for a probe: because no upstream answers, or because none can be connected to.
--- a/forwarder/passon_test.go
+++ b/forwarder/passon_test.go
@@ -107,11 +107,12 @@
 				res := f.Serve(t.Context(), forwarder.Job{Rule: &rule, Arrived: time.Now(), Passed: test.isPassed, Request: &request.Request{
 					ID: "r", Service: "s", Body: make([]byte, 1000), Deadline: time.Now().Add(900 * time.Millisecond), Idempotent: rule.Idempotent,
 				}})
+				time.Sleep(time.Second)
+				synctest.Wait()
 				if others.passed != test.passed || s.arrivals["r"] != test.atHome {
 					t.Errorf("%s: passed on %d times and sent %d times, want %d and %d", name, others.passed, s.arrivals["r"], test.passed, test.atHome)
 				}
 				checkKind(t, name, res.Outcome, test.want)
-				time.Sleep(time.Second)
 			})
 		})
 	}
--- a/presence/presence_test.go
+++ b/presence/presence_test.go
@@ -173,6 +173,7 @@
 		rs[0].table.SetState(true, true)
 		report(rs[0], root)
 		time.Sleep(time.Second)
+		synctest.Wait()
 		for _, vm := range root.list {
 			if vm.Name == leaf.vm.Name && !vm.Serving {
 				t.Errorf("%s is listed with an older state", vm.Name)
@@ -182,6 +183,7 @@
 		report(leaf, rs[0])
 		report(rs[0], root)
 		time.Sleep(time.Second)
+		synctest.Wait()
 		for _, vm := range root.list {
 			if vm.Name == leaf.vm.Name && !vm.CutOff {
 				t.Errorf("%s is listed with the state that it reported itself earlier", vm.Name)
