--- a/gateway/contact.go
+++ b/gateway/contact.go
@@ -87,9 +87,11 @@
 // updateContact tells other VMs that the contact with upstreams was lost or is back, and ends dials that wait in vain.
 func (g *Gateway) updateContact() {
 	g.membership.Update(time.Now())
-	g.divideLimits()
 	g.mirror.Interrupt()
 	if g.contact.IsLost() {
+		// The limits are divided again later, so that requests in progress can use what was saved up of the retry budget.
 		g.exchanger.CancelDials()
+		return
 	}
+	g.divideLimits()
 }
