--- a/notice/table.go
+++ b/notice/table.go
@@ -59,17 +59,13 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	defer t.updateSize()
-	e := t.all[u.ID]
-	if e != nil && u.StartedMS < e.startedMS {
+	if e := t.all[u.ID]; n == (Notice{}) && (e == nil || e.startedMS < u.StartedMS) {
+		delete(t.all, u.ID)
 		return
 	}
-	if e == nil || e.startedMS != u.StartedMS {
-		if n == (Notice{}) {
-			delete(t.all, u.ID)
-			return
-		}
-		e = &entry{startedMS: u.StartedMS}
-		t.all[u.ID] = e
+	e := t.entryOf(u)
+	if e == nil {
+		return
 	}
 	log := t.log.WithFields(logrus.Fields{"upstream": u.ID, "service": u.Service})
 	e.logUnreadable(n, log)
@@ -93,18 +89,24 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	defer t.updateSize()
+	if e := t.entryOf(u); e != nil && !e.leaving {
+		e.leaving = true
+		t.log.WithField("upstream", u.ID).Info("upstream states to another VM that it leaves")
+	}
+}
+
+// entryOf returns the entry of the upstream's incarnation, which it creates if it is new, or nil if a later one is known; the caller
+// holds mu.
+func (t *Table) entryOf(u roster.Upstream) *entry {
 	e := t.all[u.ID]
 	if e != nil && u.StartedMS < e.startedMS {
-		return
+		return nil
 	}
 	if e == nil || e.startedMS != u.StartedMS {
 		e = &entry{startedMS: u.StartedMS}
 		t.all[u.ID] = e
 	}
-	if !e.leaving {
-		e.leaving = true
-		t.log.WithField("upstream", u.ID).Info("upstream states to another VM that it leaves")
-	}
+	return e
 }
 
 // recordLimit begins, changes, confirms or ends the limit.
