Share the condition of VMs that reach upstreams

fleet, quota and detour each spelt it out. Reaching copied all VMs of other failure domains for each look-up and passed request, also where they aren't used; it collects them only if the local ones are too few now. Which VMs are returned is unchanged (TestReaching).

--- a/detour/detour.go
+++ b/detour/detour.go
@@ -148,7 +148,7 @@
 		return
 	}
 	d.list = list
-	isUnusable := func(vm fleet.VM) bool { return !vm.Serving || vm.CutOff || vm.Name == d.config.VM }
+	isUnusable := func(vm fleet.VM) bool { return !vm.IsReaching() || vm.Name == d.config.VM }
 	d.near = slices.DeleteFunc(fleet.Reaching(list, d.config.FailureDomain), isUnusable)
 	d.far = slices.DeleteFunc(slices.Clone(list), isUnusable)
 }
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -10,10 +10,8 @@
 	"github.com/fulmarhitch/fulmarhitch/fleet"
 )
 
-const (
-	// MaxAddresses is the largest number of addresses of an answer; the platform's protocol lets callers use no more.
-	MaxAddresses = 64
-)
+// MaxAddresses is the largest number of addresses of an answer; the platform's protocol lets callers use no more.
+const MaxAddresses = 64
 
 // Answer is the answer to a caller that looks up addresses.
 type Answer struct {
--- a/fleet/reaching.go
+++ b/fleet/reaching.go
@@ -1,5 +1,7 @@
 package fleet
 
+import "slices"
+
 const (
 	// minLocal is the number of VMs in a failure domain below which VMs of others are added, so that there is an alternative
 	// if one VM fails.
@@ -9,33 +11,36 @@
 	maxLocalLoad = 3
 )
 
+// IsReaching reports whether the VM serves callers and reaches upstreams.
+func (vm VM) IsReaching() bool {
+	return vm.Serving && !vm.CutOff
+}
+
 // Reaching returns the VMs that serve callers of the failure domain, those in it first. They are the VMs that reach upstreams, or all
 // that serve if none does. VMs of other failure domains are included only if those in it are too few.
 func Reaching(vms []VM, failureDomain string) []VM {
-	isNoneReaching := true
-	for _, vm := range vms {
-		isNoneReaching = isNoneReaching && (!vm.Serving || vm.CutOff)
+	isUsable := VM.IsReaching
+	if !slices.ContainsFunc(vms, isUsable) {
+		isUsable = func(vm VM) bool { return vm.Serving }
 	}
 	serving := 0
-	var local, remote []VM
+	var list []VM
 	for _, vm := range vms {
-		if !vm.Serving {
+		if !vm.Serving || vm.FailureDomain != failureDomain {
 			continue
 		}
-		isLocal := vm.FailureDomain == failureDomain
-		if isLocal {
-			serving++
-		}
-		switch {
-		case vm.CutOff && !isNoneReaching:
-		case isLocal:
-			local = append(local, vm)
-		default:
-			remote = append(remote, vm)
+		serving++
+		if isUsable(vm) {
+			list = append(list, vm)
 		}
 	}
-	if len(local) < minLocal || maxLocalLoad*len(local) < serving {
-		local = append(local, remote...)
+	if len(list) >= minLocal && maxLocalLoad*len(list) >= serving {
+		return list
+	}
+	for _, vm := range vms {
+		if vm.FailureDomain != failureDomain && isUsable(vm) {
+			list = append(list, vm)
+		}
 	}
-	return local
+	return list
 }
--- a/quota/keeper.go
+++ b/quota/keeper.go
@@ -64,7 +64,7 @@
 func (k *Keeper) SetVMs(list []fleet.VM) {
 	vms := make(map[string][]string)
 	for _, vm := range list {
-		if vm.Serving && !vm.CutOff {
+		if vm.IsReaching() {
 			vms[vm.FailureDomain] = append(vms[vm.FailureDomain], vm.Name)
 		}
 	}
