--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -104,9 +104,15 @@
 	r.send(c, false)
 	hedge := time.NewTimer(r.hedgeDelay())
 	defer hedge.Stop()
+	return r.await(ctx, hedge.C, r.lostContact(), r.handleResult)
+}
+
+// await passes the results of the attempts in progress to handle until it returns an outcome, and returns that, or the outcome of the
+// deadline or of the caller's leaving. The channels hedge and lost, which may be nil, tell when to hedge and that the VM has lost
+// contact with the upstreams.
+func (r *run) await(ctx context.Context, hedge <-chan time.Time, lost <-chan struct{}, handle func(attemptResult) outcome.Outcome) outcome.Outcome {
 	deadline := time.NewTimer(time.Until(r.job.Request.Deadline))
 	defer deadline.Stop()
-	lost := r.lostContact()
 	for {
 		select {
 		case <-lost:
@@ -115,10 +121,10 @@
 				return outcome.Unknown{Reason: outcome.ConnectionLost, Detail: "contact with the upstreams was lost"}
 			}
 		case res := <-r.results:
-			if out := r.handleResult(res); out != nil {
+			if out := handle(res); out != nil {
 				return out
 			}
-		case <-hedge.C:
+		case <-hedge:
 			r.hedge()
 		case <-deadline.C:
 			return outcome.Unknown{Reason: outcome.Timeout, Detail: "no answer by the deadline"}
--- a/forwarder/passon.go
+++ b/forwarder/passon.go
@@ -72,25 +72,17 @@
 		res := transport.DoFor(attemptCtx, ctx, job.Request, job.RulesVersion, maxAnswerBytes)
 		results <- attemptResult{index: passed, result: res.Result, took: time.Since(began), vm: res.VM, upstream: res.Upstream}
 	}()
-	deadline := time.NewTimer(time.Until(job.Request.Deadline))
-	defer deadline.Stop()
-	for {
-		select {
-		case res := <-r.results:
-			answer, isAnswered := r.record(res)
-			if res.index == passed {
-				r.recordPassed(res)
-				return res.result.Outcome
-			}
-			if isAnswered && answer.Status < http.StatusInternalServerError {
-				return answer
-			}
-		case <-deadline.C:
-			return outcome.Unknown{Reason: outcome.Timeout, Detail: "no answer by the deadline"}
-		case <-ctx.Done():
-			return outcome.Unknown{Reason: outcome.Cancelled, Detail: "caller left"}
+	return r.await(ctx, nil, nil, func(res attemptResult) outcome.Outcome {
+		answer, isAnswered := r.record(res)
+		if res.index == passed {
+			r.recordPassed(res)
+			return res.result.Outcome
 		}
-	}
+		if isAnswered && answer.Status < http.StatusInternalServerError {
+			return answer
+		}
+		return nil
+	})
 }
 
 // recordPassed records the result of a passed request. Of what the upstream states, only that it leaves concerns this VM too.
