Derive the lost contact from its channel

The monitor kept a flag beside the channel that is closed while contact is lost. A method is renamed that had the name of a builtin, and two comments are corrected.

--- a/contact/contact.go
+++ b/contact/contact.go
@@ -71,8 +71,7 @@
 	check   *time.Timer
 	isArmed bool
 	// lost is closed while there is no contact, and replaced when there is again.
-	lost   chan struct{}
-	isLost bool
+	lost chan struct{}
 	// lastHeard is the time of the last answer of any upstream.
 	lastHeard time.Time
 }
@@ -89,9 +88,12 @@
 
 // IsLost reports whether the VM reaches no upstream.
 func (m *Monitor) IsLost() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.isLost
+	select {
+	case <-m.Lost():
+		return true
+	default:
+		return false
+	}
 }
 
 // Lost returns a channel that is closed while the VM reaches no upstream, or at the next time that it doesn't.
@@ -174,7 +176,7 @@
 			continue
 		}
 		if p, isLost := m.confirm(ctx, silent); isLost {
-			m.recover(ctx, p)
+			m.awaitContact(ctx, p)
 		} else {
 			m.forget()
 			backoff.Sleep(ctx, probePause)
@@ -209,7 +211,7 @@
 	return p, ctx.Err() == nil
 }
 
-// forget drops the evidence, whose age is not known after a pause of the process.
+// forget drops the evidence, because a probe has found contact or because its age isn't known after a pause of the process.
 func (m *Monitor) forget() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -248,10 +250,9 @@
 	return m.config.Probe(ctx, n)
 }
 
-// recover records that the contact is lost and probes until it is back or ctx is done.
-func (m *Monitor) recover(ctx context.Context, p Probe) {
+// awaitContact records that the contact is lost and probes until it is back or ctx is done.
+func (m *Monitor) awaitContact(ctx context.Context, p Probe) {
 	m.mu.Lock()
-	m.isLost = true
 	close(m.lost)
 	began := time.Now()
 	fields := logrus.Fields{
@@ -274,7 +275,6 @@
 	}
 	m.forget()
 	m.mu.Lock()
-	m.isLost = false
 	m.lost = make(chan struct{})
 	m.mu.Unlock()
 	m.config.Log.WithFields(logrus.Fields{"lost-ms": time.Since(began).Milliseconds(), "answered": p.Answered, "asked": p.Asked}).
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -14,7 +14,8 @@
 )
 
 const (
-	// dialTimeout is the default bound on the time to open a connection. It is long compared to the 1 ms that a connection takes and short compared to the deadlines of requests.
+	// dialTimeout is the default bound on the time to open a connection. It is long compared to the 1 ms that a connection takes
+	// and short compared to the deadlines of requests.
 	dialTimeout = time.Second
 	// idleTimeout is below the 60 s after which servers commonly close idle connections, so that a request is rarely sent
 	// on a connection that is being closed.
