--- a/contact/contact_test.go
+++ b/contact/contact_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,6 +17,7 @@
 
 // network models the upstreams as one VM reaches them.
 type network struct {
+	mu sync.Mutex
 	// answering is the number of the sampled upstreams that answer a probe.
 	answering int
 	// probes counts the upstreams that were asked.
@@ -26,11 +28,35 @@
 const sampled = 8
 
 func (n *network) probe(ctx context.Context, asked int) contact.Probe {
+	n.mu.Lock()
 	n.probes += asked
-	if n.answering < asked {
+	answering := n.answering
+	n.mu.Unlock()
+	if answering < asked {
 		<-ctx.Done()
 	}
-	return contact.Probe{Asked: asked, Answered: min(asked, n.answering)}
+	return contact.Probe{Asked: asked, Answered: min(asked, answering)}
+}
+
+// setAnswering changes the number of upstreams that answer.
+func (n *network) setAnswering(answering int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.answering = answering
+}
+
+// counts returns the numbers of upstreams that were asked and of changes of the contact.
+func (n *network) counts() (probes, changes int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.probes, n.changes
+}
+
+// countChange counts a change of the contact.
+func (n *network) countChange() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.changes++
 }
 
 // start returns a running monitor.
@@ -38,7 +64,7 @@
 	l := logrus.New()
 	l.SetOutput(io.Discard)
 	m := contact.New(contact.Config{
-		Known: func() int { return 30 }, Probe: n.probe, OnChange: func() { n.changes++ }, Log: logrus.NewEntry(l),
+		Known: func() int { return 30 }, Probe: n.probe, OnChange: n.countChange, Log: logrus.NewEntry(l),
 	})
 	go m.Run(t.Context())
 	return m
@@ -133,15 +159,15 @@
 			m.Polled(address(i))
 		}
 		<-m.Lost()
-		n.answering = 1
+		n.setAnswering(1)
 		time.Sleep(5 * time.Second)
 		if !m.IsLost() {
 			t.Error("one answer of eight counts as contact")
 		}
-		n.answering = sampled / 2
+		n.setAnswering(sampled / 2)
 		time.Sleep(2 * time.Second)
-		if m.IsLost() || n.changes != 2 {
-			t.Errorf("lost = %t after 2 s with contact, %d changes; want false, 2", m.IsLost(), n.changes)
+		if _, changes := n.counts(); m.IsLost() || changes != 2 {
+			t.Errorf("lost = %t after 2 s with contact, %d changes; want false, 2", m.IsLost(), changes)
 		}
 		select {
 		case <-m.Lost():
@@ -173,8 +199,8 @@
 					test.evidence(m, step)
 					time.Sleep(10 * time.Millisecond)
 				}
-				if n.probes > test.maxProbes {
-					t.Errorf("%s: %d upstreams asked in 10 s, want at most %d", name, n.probes, test.maxProbes)
+				if probes, _ := n.counts(); probes > test.maxProbes {
+					t.Errorf("%s: %d upstreams asked in 10 s, want at most %d", name, probes, test.maxProbes)
 				}
 			})
 		})
