Sample upstreams for probes without copying all of them

A probe copied and shuffled all upstreams of all services, some 3,000 at the target size, to take eight. It now draws as many services as it needs, and positions in place of copies. The request of a poll stood in sampler and gateway; both call request.NewPoll.

--- a/gateway/contact.go
+++ b/gateway/contact.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"math/rand/v2"
-	"net/http"
 	"slices"
 	"time"
 
@@ -49,35 +48,41 @@
 	}
 	services := slices.Collect(maps.Keys(set.Services))
 	rand.Shuffle(len(services), func(i, j int) { services[i], services[j] = services[j], services[i] })
-	var lists [][]roster.Upstream
-	for _, s := range services {
-		list := slices.Clone(g.roster.Usable(s))
-		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-		lists = append(lists, list)
+	// The first upstreams of n services suffice.
+	var lists [][]probeTarget
+	for _, name := range services {
+		if len(lists) == n {
+			break
+		}
+		if list := g.sampleService(name, set.Services[name].HealthPath, n); len(list) > 0 {
+			lists = append(lists, list)
+		}
 	}
 	var targets []probeTarget
-	for round, isExhausted := 0, false; !isExhausted; round++ {
-		isExhausted = true
-		for i, list := range lists {
-			if len(targets) == n {
-				return targets
-			}
-			if round < len(list) {
-				isExhausted = false
-				targets = append(targets, probeTarget{list[round], set.Services[services[i]].HealthPath})
+	for round := range n {
+		for _, list := range lists {
+			if round < len(list) && len(targets) < n {
+				targets = append(targets, list[round])
 			}
 		}
 	}
 	return targets
 }
 
+// sampleService returns at most n upstreams of the service at random.
+func (g *Gateway) sampleService(service, healthPath string, n int) []probeTarget {
+	usable := g.roster.Usable(service)
+	var list []probeTarget
+	for _, i := range rand.Perm(len(usable))[:min(n, len(usable))] {
+		list = append(list, probeTarget{usable[i], healthPath})
+	}
+	return list
+}
+
 // probeUpstream reports whether the upstream answers a poll on a new connection.
 func (g *Gateway) probeUpstream(ctx context.Context, t probeTarget) bool {
 	u := t.upstream
-	r := &request.Request{
-		Service: u.Service, Method: http.MethodGet, Path: t.healthPath, Host: u.Address, Idempotent: true,
-		Deadline: time.Now().Add(maxProbeTime),
-	}
+	r := request.NewPoll(u.Service, u.Address, t.healthPath, time.Now().Add(maxProbeTime))
 	res := g.exchanger.Probe(ctx, r, declaration.Upstream{Name: u.ID, Address: u.Address})
 	out, isNotRun := res.Outcome.(outcome.NotRun)
 	// Nothing is sent to an upstream that wants no requests, but the connection to it was opened.
--- a/request/request.go
+++ b/request/request.go
@@ -38,6 +38,11 @@
 	Long bool
 }
 
+// NewPoll returns a request to the health endpoint of an upstream of the service at the address.
+func NewPoll(service, address, path string, deadline time.Time) *Request {
+	return &Request{Service: service, Method: http.MethodGet, Path: path, Host: address, Idempotent: true, Deadline: deadline}
+}
+
 // Fingerprint returns a hash of the service, kind, method, path and body. Requests with equal fingerprints are treated as
 // the same work.
 func (r *Request) Fingerprint() uint64 {
--- a/sampler/sampler.go
+++ b/sampler/sampler.go
@@ -101,10 +101,7 @@
 
 // poll sends one poll and records the answer.
 func (s *Sampler) poll(u roster.Upstream, path string) {
-	r := &request.Request{
-		Service: u.Service, Method: http.MethodGet, Path: path, Host: u.Address, Idempotent: true,
-		Deadline: time.Now().Add(pollTimeout),
-	}
+	r := request.NewPoll(u.Service, u.Address, path, time.Now().Add(pollTimeout))
 	res := s.poller.Poll(context.Background(), r, declaration.Upstream{Name: u.ID, Address: u.Address})
 	now := time.Now()
 	switch out := res.Outcome.(type) {
