--- a/presence/presence_test.go
+++ b/presence/presence_test.go
@@ -62,6 +62,7 @@
 		n.table.Expire(time.Now())
 	}
 	time.Sleep(500 * time.Millisecond)
+	synctest.Wait()
 }
 
 // TestList guards against VMs that are missing in the list, or stay in it after they have ended or left, and against a list
