Log and count by what answers callers are told that a request did not run

A refusal has no status in the log, and nothing says by which statement an answer counts as one or whether it bears the upstream's mark. Change: attempts log status, stamped and states-not-run, requests log the status that the caller got, and promises_total counts answers that promise "not run" by who decided them. No decision changes.

--- a/exchange/answer.go
+++ b/exchange/answer.go
@@ -41,7 +41,7 @@
 	if a.kind == kindRequest && a.dialect.IsAltered(resp) {
 		return unknown(Mismatched, outcome.Mismatched, "answer is not the upstream's own")
 	}
-	var res Result
+	res := Result{Status: resp.StatusCode}
 	a.dialect.Report(resp, &res)
 	reason, refused := a.dialect.Refusal(resp)
 	if refused {
--- a/exchange/result.go
+++ b/exchange/result.go
@@ -36,6 +36,11 @@
 	Outcome outcome.Outcome
 	// Class classifies the result.
 	Class Class
+	// Status is the HTTP status code of the answer, or 0 without one.
+	Status int
+	// IsStamped reports whether the answer bears the mark of the upstream's own answers, and StatesNotRun whether it states that
+	// the request did not run.
+	IsStamped, StatesNotRun bool
 	// Load is the load that the upstream reported; it is valid if HasLoad is true.
 	Load    Load
 	HasLoad bool
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -155,8 +155,8 @@
 	r.inFlight--
 	a := &r.attempts[res.index]
 	a.Took, a.Class = res.took, res.result.Class
+	a.Status, a.IsStamped, a.StatesNotRun = res.result.Status, res.result.IsStamped, res.result.StatesNotRun
 	answer, ok = res.result.Outcome.(outcome.Answered)
-	a.Status = answer.Status
 	return answer, ok
 }
 
--- a/forwarder/job.go
+++ b/forwarder/job.go
@@ -40,6 +40,8 @@
 	Class exchange.Class
 	// Status is the HTTP status code of the answer, or 0 without one.
 	Status int
+	// IsStamped and StatesNotRun are what the answer says of its origin and of the run of the request.
+	IsStamped, StatesNotRun bool
 	// Hedge reports whether the attempt was started while an earlier one still ran.
 	Hedge bool
 
--- a/ingress/config.go
+++ b/ingress/config.go
@@ -18,6 +18,8 @@
 	RequestID string
 	// Deadline names the header with the time in ms for which the caller waits.
 	Deadline string
+	// PromisesNotRun reports whether callers take the status as the promise that their request has not run and never will.
+	PromisesNotRun func(status int) bool
 }
 
 // Forwarder forwards requests to upstreams.
--- a/ingress/handle.go
+++ b/ingress/handle.go
@@ -18,6 +18,7 @@
 	"github.com/fulmarhitch/fulmarhitch/outcome"
 	"github.com/fulmarhitch/fulmarhitch/request"
 	"github.com/fulmarhitch/fulmarhitch/ruleset"
+	"github.com/fulmarhitch/fulmarhitch/telemetry"
 )
 
 const (
@@ -199,11 +200,13 @@
 	return int64(n)
 }
 
-// writeOutcome sends the outcome of the request. Status 503 states that it did not run; 502 and 504 state that it is unknown
-// whether it ran.
+// writeOutcome sends the outcome of the request.
 func (s *Server) writeOutcome(w http.ResponseWriter, r *http.Request, out outcome.Outcome) {
 	switch out := out.(type) {
 	case outcome.Answered:
+		if s.config.Dialect.PromisesNotRun(out.Status) {
+			s.config.Metrics.Promised(out.Status, telemetry.FromUpstream)
+		}
 		h := w.Header()
 		for name, values := range out.Header {
 			h[name] = values
@@ -217,18 +220,35 @@
 		// An error means that the caller disconnected, which also cancels the request's context.
 		_, _ = w.Write(out.Body)
 	case outcome.NotRun:
-		s.writeError(w, r, errorResponse{http.StatusServiceUnavailable, string(out.Reason), retryDelay(out), out.Reason == outcome.CutOff})
+		s.writeError(w, r, errorResponse{statusOf(out), string(out.Reason), retryDelay(out), out.Reason == outcome.CutOff})
 	case outcome.Unknown:
-		switch out.Reason {
-		case outcome.Cancelled:
+		if out.Reason == outcome.Cancelled {
 			// The caller no longer waits for an answer.
 			panic(http.ErrAbortHandler)
+		}
+		s.writeError(w, r, errorResponse{status: statusOf(out), text: string(out.Reason)})
+	}
+}
+
+// statusOf returns the status that tells the outcome, or 0 if its caller is told nothing. Status 503 states that the request did not run;
+// 502 and 504 state that it is unknown whether it ran.
+func statusOf(out outcome.Outcome) int {
+	switch out := out.(type) {
+	case outcome.Answered:
+		return out.Status
+	case outcome.NotRun:
+		return http.StatusServiceUnavailable
+	case outcome.Unknown:
+		switch out.Reason {
+		case outcome.Cancelled:
+			return 0
 		case outcome.Timeout:
-			s.writeError(w, r, errorResponse{status: http.StatusGatewayTimeout, text: string(out.Reason)})
+			return http.StatusGatewayTimeout
 		default:
-			s.writeError(w, r, errorResponse{status: http.StatusBadGateway, text: string(out.Reason)})
+			return http.StatusBadGateway
 		}
 	}
+	return 0
 }
 
 // retryDelay returns the delay after which the caller may repeat a request that did not run.
@@ -270,6 +290,9 @@
 	if resp.isUntried && r.Header.Get(header.Detour) != "" {
 		h.Set(header.Detour, "refused")
 	}
+	if s.config.Dialect.PromisesNotRun(resp.status) {
+		s.config.Metrics.Promised(resp.status, telemetry.FromVM)
+	}
 	w.WriteHeader(resp.status)
 	// An error means that the caller disconnected.
 	_, _ = io.WriteString(w, resp.text+"\n")
@@ -282,9 +305,12 @@
 		"left-ms": time.Until(j.Request.Deadline).Milliseconds(), "rules-age-ms": s.config.RulesAge().Milliseconds(),
 		"attempts": attemptFields(res.Attempts),
 	}
+	if status := statusOf(res.Outcome); status != 0 {
+		fields["status"] = status
+	}
 	switch out := res.Outcome.(type) {
 	case outcome.Answered:
-		fields["outcome"], fields["status"] = "answered", out.Status
+		fields["outcome"] = "answered"
 	case outcome.NotRun:
 		fields["outcome"], fields["reason"], fields["detail"] = "not-run", out.Reason, out.Detail
 	case outcome.Unknown:
@@ -303,6 +329,9 @@
 			"running": a.Load.Running, "waiting": a.Load.Waiting, "slots": a.Load.Slots, "slowdown": a.Load.Slowdown,
 			"report-age-ms": a.LoadAge.Milliseconds(), "failing": float64(int(a.FailureRate*100)) / 100,
 		}
+		if a.Status != 0 {
+			fields["stamped"], fields["states-not-run"] = a.IsStamped, a.StatesNotRun
+		}
 		if a.VM != "" {
 			fields["vm"] = a.VM
 		}
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -67,7 +67,7 @@
 	log.SetOutput(io.Discard)
 	zero := func() float64 { return 0 }
 	return ingress.Config{
-		Dialect: ingress.Dialect{RequestID: "Id", Deadline: "Deadline"}, Forwarder: f,
+		Dialect: ingress.Dialect{RequestID: "Id", Deadline: "Deadline", PromisesNotRun: func(status int) bool { return status == http.StatusServiceUnavailable }}, Forwarder: f,
 		Rules: rules, RulesAge: func() time.Duration { return 0 },
 		MaxRulesAge: 2 * time.Second, Bodies: buffer.New(maxBodies, func(string, int64) {}),
 		Pick: func(r *ruleset.Rule) string { return r.Parts[0].Service }, Log: logrus.NewEntry(log),
--- a/telemetry/doc.go
+++ b/telemetry/doc.go
@@ -3,6 +3,7 @@
 //	fulmarhitch_request_duration_seconds{rule,outcome}  histogram of the time from receipt to outcome
 //	fulmarhitch_requests_total{rule,outcome,reason}     outcomes of forwarded requests
 //	fulmarhitch_refusals_total{status}                  requests that were not forwarded
+//	fulmarhitch_promises_total{status,origin}           answers that tell callers that their request did not run, by who decided it
 //	fulmarhitch_attempts_total{rule,end}                attempts by the way they ended
 //	fulmarhitch_idle_closes_total                       connections of callers that were closed because they were idle
 //	fulmarhitch_hedges_total{rule}                      hedges: second attempts while the first was in progress
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -23,6 +23,17 @@
 // durationBuckets range from 1 ms to 30 s, in seconds.
 var durationBuckets = []float64{.001, .005, .01, .025, .05, .1, .15, .2, .3, .4, .5, .75, 1, 1.5, 2, 3, 5, 10, 30}
 
+// Origin tells who decided the status of an answer, in kebab case.
+type Origin string
+
+// Origins of answers.
+const (
+	// FromVM marks a status that a VM decided.
+	FromVM Origin = "vm"
+	// FromUpstream marks a status that an upstream decided.
+	FromUpstream Origin = "upstream"
+)
+
 // Sources holds functions that return current values; they are called on each scrape.
 type Sources struct {
 	RulesVersion, StoreAge, Upstreams, VMs, Polls, LogDropped, BodyBytes, Evictions func() float64
@@ -42,6 +53,7 @@
 	durations          *prometheus.HistogramVec
 	requests, attempts *prometheus.CounterVec
 	refusals, hedges   *prometheus.CounterVec
+	promises           *prometheus.CounterVec
 	idleCloses         prometheus.Counter
 
 	mu    sync.Mutex
@@ -58,11 +70,12 @@
 	m.requests = counter("requests_total", "Outcomes of forwarded requests.", "rule", "outcome", "reason")
 	m.attempts = counter("attempts_total", "Sends to upstreams by their ends.", "rule", "end")
 	m.refusals = counter("refusals_total", "Requests that were not forwarded.", "status")
+	m.promises = counter("promises_total", "Answers whose status tells callers that their request did not run, by who decided it.", "status", "origin")
 	m.hedges = counter("hedges_total", "Second sends while the first was in progress.", "rule")
 	m.idleCloses = prometheus.NewCounter(prometheus.CounterOpts{
 		Namespace: namespace, Name: "idle_closes_total", Help: "Connections of callers that were closed because they were idle.",
 	})
-	m.registry.MustRegister(m.durations, m.requests, m.attempts, m.refusals, m.hedges, m.idleCloses)
+	m.registry.MustRegister(m.durations, m.requests, m.attempts, m.refusals, m.promises, m.hedges, m.idleCloses)
 	m.registry.MustRegister(labelled{storeCallsDesc, prometheus.CounterValue, s.StoreCalls})
 	if s.Notices != nil {
 		m.registry.MustRegister(labelled{noticesDesc, prometheus.GaugeValue, s.Notices})
@@ -154,6 +167,11 @@
 	m.refusals.WithLabelValues(strconv.Itoa(status)).Inc()
 }
 
+// Promised counts an answer whose status tells the caller that the request did not run.
+func (m *Metrics) Promised(status int, origin Origin) {
+	m.promises.WithLabelValues(strconv.Itoa(status), string(origin)).Inc()
+}
+
 // ClosedIdle counts connections of callers that were closed because they were idle.
 func (m *Metrics) ClosedIdle(n int) {
 	m.idleCloses.Add(float64(n))
