Send a request to an address at most once

Callers were told "not run" (503) of a non-idempotent request that ran: its second upstream had the address of the first, which wrote its refusal of the first attempt twice, and the repetition came on the kept connection with the identifier that the second attempt waited for. Cause: an answer belongs to an attempt by the request's identifier, which two attempts of one request share. Change: an upstream whose address an attempt already went to is no candidate, so that no connection carries a request twice. The upstreams of the tests get addresses of their own.

--- a/forwarder/choose.go
+++ b/forwarder/choose.go
@@ -191,7 +191,7 @@
 	now := time.Now()
 	r.blocked = blockage{wait: quota.Never}
 	for _, u := range r.config.Roster.Usable(r.job.Request.Service) {
-		if slices.ContainsFunc(r.attempts, func(a Attempt) bool { return a.Upstream.ID == u.ID }) {
+		if r.wasTried(u) {
 			continue
 		}
 		p := &far
@@ -213,6 +213,14 @@
 	return near, far
 }
 
+// wasTried reports whether the request was sent to the upstream, or to another one at its address, which would read the answers to
+// both attempts on the same connection.
+func (r *run) wasTried(u roster.Upstream) bool {
+	return slices.ContainsFunc(r.attempts, func(a Attempt) bool {
+		return a.Upstream.ID == u.ID || a.Upstream.Address == u.Address
+	})
+}
+
 // improve polls a sample of the upstreams and returns the cheapest of them, or current if that is at least as cheap.
 func (r *run) improve(current *choice, all place, near bool, maxWait time.Duration) *choice {
 	sampled := r.sample(all.open, near)
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -64,7 +64,7 @@
 	for i := range n {
 		id := fmt.Sprintf("u%02d", i)
 		s.ups[id] = &upstream{slots: slots, slowdown: 1}
-		r.Put(roster.Upstream{ID: id, Service: "s", FailureDomain: "near", Slots: slots})
+		r.Put(roster.Upstream{ID: id, Address: id, Service: "s", FailureDomain: "near", Slots: slots})
 	}
 	return s, r
 }
@@ -387,7 +387,7 @@
 		for id, u := range s.ups {
 			u.knee = 1.7
 			if id >= "u03" {
-				r.Put(roster.Upstream{ID: id, Service: "s", FailureDomain: "far", Slots: 3})
+				r.Put(roster.Upstream{ID: id, Address: id, Service: "s", FailureDomain: "far", Slots: 3})
 			}
 		}
 		got := runStreams(s, r, 10*time.Second, stream{plain, 40, 160})[plain]
--- a/forwarder/limit_test.go
+++ b/forwarder/limit_test.go
@@ -123,7 +123,7 @@
 						u.limit = tt.limit
 					}
 					s.ups[id] = u
-					r.Put(roster.Upstream{ID: id, Service: "s", FailureDomain: fmt.Sprint("d", i%tt.domains), Slots: tt.slots})
+					r.Put(roster.Upstream{ID: id, Address: id, Service: "s", FailureDomain: fmt.Sprint("d", i%tt.domains), Slots: tt.slots})
 				}
 				work := time.Duration(tt.work) * time.Millisecond
 				rule := &ruleset.Rule{Name: "r", Idempotent: true, Target: 3 * work, Timeout: time.Second, Attempts: 2}
--- a/forwarder/notice_test.go
+++ b/forwarder/notice_test.go
@@ -110,7 +110,7 @@
 func runStated(t *testing.T, s *statedService, duration time.Duration) (all []ended) {
 	r := roster.New()
 	for id := range s.ups {
-		r.Put(roster.Upstream{ID: id, Service: "s", FailureDomain: "near", Slots: 3, StartedMS: 1})
+		r.Put(roster.Upstream{ID: id, Address: id, Service: "s", FailureDomain: "near", Slots: 3, StartedMS: 1})
 	}
 	retries := forwarder.NewRetries(1)
 	retries.SetBurst(10)
