Keep the outcome of earlier attempts when other VMs refuse a passed request

An idempotent request that was sent, and was passed to another VM when contact was lost, ended as "not run" if that VM refused it. Cause: the outcome at the other VM replaced the one of the attempts before it. Callers of non-idempotent requests weren't affected, because those aren't passed on after they were sent. Change: the outcome at the other VM is one of several, of which the least certain one counts. Evidence: the new case of TestPassOn got a not-run outcome before and an unknown one after.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -82,6 +82,7 @@
 	r.ctx, r.abort = context.WithDeadline(context.WithoutCancel(ctx), j.Request.Deadline)
 	out := r.serve(ctx)
 	if r.mayPassOn(out) {
+		r.updateFallback(out)
 		out = r.passOn(ctx)
 	} else if _, notRun := out.(outcome.NotRun); notRun && r.isCutOff() && !r.wasSent() {
 		// A VM that passed the request on may ask another one.
--- a/forwarder/passon.go
+++ b/forwarder/passon.go
@@ -60,8 +60,8 @@
 	return false
 }
 
-// passOn passes the request to another VM and returns the outcome there, or the answer of an earlier attempt in progress if that
-// comes first.
+// passOn passes the request to another VM and returns the outcome of all attempts, or the answer of an earlier attempt in progress if
+// that comes first.
 func (r *run) passOn(ctx context.Context) outcome.Outcome {
 	passed := len(r.attempts)
 	r.attempts = append(r.attempts, Attempt{Started: time.Since(r.job.Arrived)})
@@ -76,7 +76,8 @@
 		answer, isAnswered := r.record(res)
 		if res.index == passed {
 			r.recordPassed(res)
-			return res.result.Outcome
+			r.updateFallback(res.result.Outcome)
+			return r.fallback
 		}
 		if isAnswered && answer.Status < http.StatusInternalServerError {
 			return answer
--- a/forwarder/passon_test.go
+++ b/forwarder/passon_test.go
@@ -57,7 +57,8 @@
 }
 
 // TestPassOn guards against requests that fail because their VM reaches no upstream, and against those that may run twice because they
-// are passed to another VM: a non-idempotent one after it was sent, or one that another VM has passed on.
+// are passed to another VM: a non-idempotent one after it was sent, or one that another VM has passed on. A request that was sent isn't
+// told as not run because other VMs refuse it.
 func TestPassOn(t *testing.T) {
 	const before, during = -1, 100 * time.Millisecond
 	tests := map[string]struct {
@@ -77,6 +78,7 @@
 		"loss in progress, idempotent":        {lostAt: during, isIdempotent: true, passed: 1, atHome: 1, want: outcome.Answered{}},
 		"loss in progress, no budget":         {lostAt: during, isIdempotent: true, hasNoBudget: true, atHome: 1, want: outcome.Unknown{}},
 		"loss in progress, passed on":         {lostAt: during, isIdempotent: true, isPassed: true, atHome: 1, want: outcome.Unknown{}},
+		"loss in progress, all VMs refuse":    {lostAt: during, isIdempotent: true, refuse: true, passed: 1, atHome: 1, want: outcome.Unknown{}},
 		"loss in progress, may run only once": {lostAt: during, atHome: 1, want: outcome.Unknown{}},
 	}
 	for name, test := range tests {
