Tell callers "not run" only for statements of refusals

Callers got 503, 429, 408 or 421 for non-idempotent requests that had run, and requests ran twice. A gateway passed on the status of any answer that was no refusal, although callers take these statuses as a promise; and it took every answer with the header of a refusal, or with status 421, for a refusal, also a success with the upstream's own stamp. The same by way of another gateway, whose own refusals couldn't be told from answers of upstreams. Cause: the status of an answer was read as evidence for what only a statement tells. Change: a dialect says what an answer states: a run, a refusal, or doubt. Doubt ends as unknown (502 without the upstream's headers), counts as a failure of the upstream, and lets an idempotent request go elsewhere. VMs tell each other the outcome itself; a VM of an older version that tells none leaves it in doubt.

--- a/detour/detour.go
+++ b/detour/detour.go
@@ -103,7 +103,7 @@
 		res.VM = vm.Name
 		one := d.exchanger.DoFor(ctx, caller, &passed, declaration.Upstream{Name: vm.Name, Address: vm.Address}, maxAnswer)
 		d.end(vm.Name)
-		if one.Class != exchange.Unsent && one.Class != exchange.Refused {
+		if !mayAskOther(one) {
 			res.Result = one
 			if answer, ok := one.Outcome.(outcome.Answered); ok {
 				res.Upstream = takeUpstream(answer.Header)
@@ -117,6 +117,12 @@
 	return res
 }
 
+// mayAskOther reports whether another VM may be asked after the result: nothing was sent, or the VM sent the request to no upstream.
+func mayAskOther(res exchange.Result) bool {
+	out, isNotRun := res.Outcome.(outcome.NotRun)
+	return res.Class == exchange.Unsent || isNotRun && out.Reason == outcome.CutOff
+}
+
 // choose returns the VM with fewer passed requests of two that reach upstreams and were not tried, and counts one more for it. VMs
 // that are avoided are chosen only if there is no other.
 func (d *Detour) choose(tried []string, now time.Time) (vm fleet.VM, found bool) {
--- a/detour/detour_test.go
+++ b/detour/detour_test.go
@@ -27,8 +27,13 @@
 
 const requestID = "X-Id"
 
-// newDetour returns a detour of the VM self to the others.
+// newDetour returns a detour of the VM self to the others, for upstreams whose answers are all runs.
 func newDetour(vms ...fleet.VM) *detour.Detour {
+	return newDetourWith(func(*http.Response) exchange.Statement { return exchange.Run{} }, vms...)
+}
+
+// newDetourWith is like newDetour for upstreams whose answers make the statement.
+func newDetourWith(statement func(*http.Response) exchange.Statement, vms ...fleet.VM) *detour.Detour {
 	l := logrus.New()
 	l.SetOutput(io.Discard)
 	list := append([]fleet.VM{{Name: "self", FailureDomain: "a", Serving: true, CutOff: true}}, vms...)
@@ -37,7 +42,7 @@
 		Log: logrus.NewEntry(l),
 		Dialect: exchange.Dialect{
 			RequestID: requestID, Deadline: "X-Left", Expect: "X-Upstream", Verbatim: true, EndToEnd: header.Transparent,
-			Report: func(*http.Response, *exchange.Result) {}, Refusal: func(*http.Response) (outcome.Reason, bool) { return "", false },
+			Report: func(*http.Response, *exchange.Result) {}, Statement: statement,
 			IsAltered: func(*http.Response) bool { return true },
 		},
 	})
@@ -117,6 +122,43 @@
 	}
 }
 
+// TestToldOutcome guards against a request that is told as not run by the status of another VM's answer alone, and against one that is
+// sent again after another VM has told its outcome.
+func TestToldOutcome(t *testing.T) {
+	answer := func(status int, headers ...string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			for i := 0; i < len(headers); i += 2 {
+				w.Header().Set(headers[i], headers[i+1])
+			}
+			w.WriteHeader(status)
+		}
+	}
+	doubt := outcome.Unknown{Reason: outcome.Unconfirmed}
+	tests := map[string]struct {
+		vm   http.HandlerFunc
+		want outcome.Outcome
+	}{
+		"not run":                   {answer(503, header.Outcome, "not-run", header.Reason, "queue-full", "Retry-After", "0.5"), outcome.NotRun{Reason: outcome.QueueFull, RetryAfter: 500 * time.Millisecond}},
+		"not run, unreadable time":  {answer(503, header.Outcome, "not-run", header.Reason, "limited", "Retry-After", "soon"), outcome.NotRun{Reason: outcome.Limited}},
+		"unknown":                   {answer(504, header.Outcome, "unknown", header.Reason, "timeout"), outcome.Unknown{Reason: outcome.Timeout, Detail: "outcome at another VM"}},
+		"not run, with a success":   {answer(200, header.Outcome, "not-run", header.Reason, "queue-full"), doubt},
+		"nothing, of an older VM":   {answer(503), doubt},
+		"nothing, of its upstream":  {answer(503, header.Upstream, "1 u"), doubt},
+		"another word than outcome": {answer(503, header.Outcome, "refused"), doubt},
+	}
+	for name, test := range tests {
+		Convey("Given two VMs that tell: "+name, t, func() {
+			var arrivals atomic.Int64
+			statement := func(*http.Response) exchange.Statement { return exchange.Doubt{Outcome: doubt} }
+			d := newDetourWith(statement, startVM(t, "b", &arrivals, test.vm), startVM(t, "c", &arrivals, test.vm))
+			defer d.Close()
+			res := d.DoFor(t.Context(), t.Context(), newRequest(), 12, 1<<20)
+			So(res.Outcome, ShouldResemble, test.want)
+			So(arrivals.Load(), ShouldEqual, 1)
+		})
+	}
+}
+
 // TestChoice guards against requests that are passed to VMs that can't serve them, or to another failure domain without need.
 func TestChoice(t *testing.T) {
 	closed, err := net.Listen("tcp", "127.0.0.1:0")
--- a/detour/dialect.go
+++ b/detour/dialect.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/fulmarhitch/fulmarhitch/exchange"
 	"github.com/fulmarhitch/fulmarhitch/header"
@@ -11,6 +12,9 @@
 	"github.com/fulmarhitch/fulmarhitch/roster"
 )
 
+// maxRetryAfter bounds the time to return that another VM states.
+const maxRetryAfter = time.Minute
+
 // dialect returns the dialect spoken with other VMs, which differs from that of upstreams in the headers between VMs.
 func dialect(upstream exchange.Dialect) exchange.Dialect {
 	d := upstream
@@ -19,12 +23,46 @@
 	d.AllowCloseDelimited = false
 	d.EndToEnd = endToEnd
 	d.IsAltered = func(*http.Response) bool { return false }
-	d.Refusal = func(resp *http.Response) (outcome.Reason, bool) {
-		return outcome.Refused, resp.Header.Get(header.Detour) != ""
-	}
+	d.Statement = func(resp *http.Response) exchange.Statement { return statement(resp, upstream.Statement) }
 	return d
 }
 
+// Outcomes that a VM states to the one that passed the request on.
+const (
+	// NotRun states that no upstream has run the request.
+	NotRun = "not-run"
+	// Unknown states that the request may have run.
+	Unknown = "unknown"
+)
+
+// statement returns what the answer of a VM states: its own outcome, or what the upstream's answer states that it passes back. A VM
+// that states no outcome may be of an older version; its status alone is no evidence that no upstream has run the request.
+func statement(resp *http.Response, ofUpstream func(*http.Response) exchange.Statement) exchange.Statement {
+	reason := outcome.Reason(resp.Header.Get(header.Reason))
+	switch told := resp.Header.Get(header.Outcome); {
+	case resp.Header.Get(header.Detour) != "":
+		return exchange.Refusal{Outcome: outcome.NotRun{Reason: outcome.CutOff}}
+	case told == NotRun && resp.StatusCode == http.StatusServiceUnavailable:
+		return exchange.Refusal{Outcome: outcome.NotRun{Reason: reason, RetryAfter: retryAfter(resp.Header)}}
+	case told == Unknown:
+		return exchange.Doubt{Outcome: outcome.Unknown{Reason: reason, Detail: "outcome at another VM"}}
+	}
+	s := ofUpstream(resp)
+	if _, isRefusal := s.(exchange.Refusal); isRefusal {
+		return exchange.Doubt{Outcome: outcome.Unknown{Reason: outcome.Unconfirmed, Detail: "another VM passed a refusal back as an answer"}}
+	}
+	return s
+}
+
+// retryAfter returns the time that the header Retry-After states, or 0.
+func retryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
+	if err != nil || !(seconds >= 0 && seconds <= maxRetryAfter.Seconds()) {
+		return 0
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
 // endToEnd returns the headers that pass a hop, and those between VMs that are set before and read after it.
 func endToEnd(h http.Header) http.Header {
 	out := header.Transparent(h)
--- a/exchange/answer.go
+++ b/exchange/answer.go
@@ -43,11 +43,16 @@
 	}
 	res := Result{Status: resp.StatusCode}
 	a.dialect.Report(resp, &res)
-	reason, refused := a.dialect.Refusal(resp)
-	if refused {
-		res.Class = Refused
-		res.Outcome = outcome.NotRun{Reason: reason}
+	switch s := a.dialect.Statement(resp).(type) {
+	case Refusal:
+		res.Class, res.Outcome = Refused, s.Outcome
 		return res
+	case Doubt:
+		if a.kind == kindRequest {
+			res.Class, res.Outcome = Unconfirmed, s.Outcome
+			return res
+		}
+	case Run:
 	}
 	res.Class = Answered
 	res.Outcome = outcome.Answered{Status: resp.StatusCode, Header: a.dialect.EndToEnd(resp.Header), Body: body}
@@ -112,19 +117,19 @@
 	}
 }
 
-// refusal reports whether the answer states according to the protocol that the upstream refused the request before running
-// it, and why. Other values of the header are not part of the protocol, and such an answer is passed on unchanged.
-func refusal(resp *http.Response) (outcome.Reason, bool) {
+// statement returns a Refusal if the answer states according to the protocol that the upstream refused the request before
+// running it. Other values of the header are not part of the protocol, and such an answer is passed on unchanged.
+func statement(resp *http.Response) Statement {
 	v := resp.Header[header.Refused]
 	if resp.StatusCode != http.StatusServiceUnavailable || len(v) != 1 {
-		return "", false
+		return Run{}
 	}
 	switch v[0] {
 	case "shed", "draining":
-		return outcome.Refused, true
+		return Refusal{outcome.NotRun{Reason: outcome.Refused}}
 	case "deadline":
-		return outcome.DeadlineUnreachable, true
+		return Refusal{outcome.NotRun{Reason: outcome.DeadlineUnreachable}}
 	default:
-		return "", false
+		return Run{}
 	}
 }
--- a/exchange/dialect.go
+++ b/exchange/dialect.go
@@ -4,7 +4,6 @@
 	"net/http"
 
 	"github.com/fulmarhitch/fulmarhitch/header"
-	"github.com/fulmarhitch/fulmarhitch/outcome"
 	"github.com/fulmarhitch/fulmarhitch/request"
 )
 
@@ -29,8 +28,9 @@
 	EndToEnd func(http.Header) http.Header
 	// Report reads what the upstream states about itself in an answer into the result.
 	Report func(*http.Response, *Result)
-	// Refusal reports whether the answer states that the request did not run, and why.
-	Refusal func(*http.Response) (outcome.Reason, bool)
+	// Statement returns what the answer states about the run of its request. The status of an answer that is a Run is passed on, so it
+	// must not tell callers anything else.
+	Statement func(*http.Response) Statement
 	// IsAltered reports whether the answer differs from the one that the upstream produced.
 	IsAltered func(*http.Response) bool
 }
@@ -38,7 +38,7 @@
 // native is the dialect of upstreams that implement this project's own protocol.
 var native = Dialect{
 	RequestID: header.RequestID, Deadline: header.Deadline, Depth: header.Depth,
-	EndToEnd: header.EndToEnd, Report: readReport, Refusal: refusal, IsAltered: func(*http.Response) bool { return false },
+	EndToEnd: header.EndToEnd, Report: readReport, Statement: statement, IsAltered: func(*http.Response) bool { return false },
 }
 
 // check returns the reason for which the request must not be sent, or an empty string.
--- a/exchange/endless_test.go
+++ b/exchange/endless_test.go
@@ -518,7 +518,7 @@
 	return exchange.Dialect{
 		RequestID: "Fulmarhitch-Request-Id", Deadline: "Fulmarhitch-Deadline-Ms", AllowCloseDelimited: true, MaxMismatched: 2, Verbatim: true,
 		EndToEnd: func(h http.Header) http.Header { return h }, Report: func(*http.Response, *exchange.Result) {},
-		Refusal:   func(*http.Response) (outcome.Reason, bool) { return "", false },
+		Statement: func(*http.Response) exchange.Statement { return exchange.Run{} },
 		IsAltered: func(*http.Response) bool { return false },
 	}
 }()
--- a/exchange/result.go
+++ b/exchange/result.go
@@ -28,6 +28,8 @@
 	Truncated Class = "truncated"
 	// Mismatched marks an answer that doesn't carry the request's identifier; its outcome is Unknown.
 	Mismatched Class = "mismatched"
+	// Unconfirmed marks a whole answer that leaves in doubt whether the request ran; its outcome is Unknown.
+	Unconfirmed Class = "unconfirmed"
 )
 
 // Result is the result of one exchange.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -297,7 +297,7 @@
 		if r.config.Quarantine != nil {
 			r.config.Quarantine.Answered(r.job.Request)
 		}
-	case exchange.Refused, exchange.Lost, exchange.Truncated, exchange.Mismatched, exchange.TimedOut:
+	case exchange.Refused, exchange.Lost, exchange.Truncated, exchange.Mismatched, exchange.TimedOut, exchange.Unconfirmed:
 		failed = true
 	case exchange.Died:
 		failed = true
@@ -310,7 +310,7 @@
 	case exchange.Cancelled:
 	}
 	r.config.Conditions.End(up.ID, failed, now)
-	if res.Class == exchange.Answered || res.Class == exchange.Refused {
+	if res.Class == exchange.Answered || res.Class == exchange.Refused || res.Class == exchange.Unconfirmed {
 		r.config.Notices.Record(up, res.Notice, now)
 	}
 	if res.HasLoad {
--- a/header/header.go
+++ b/header/header.go
@@ -15,7 +15,7 @@
 	Key = "Fulmarhitch-Key"
 	// Depth counts the calls that led to the request.
 	Depth = "Fulmarhitch-Depth"
-	// Outcome holds the outcome of the request: answered, not-run or unknown.
+	// Outcome holds the outcome of the request: answered, not-run or unknown. Between VMs, only an answer of a VM itself has it.
 	Outcome = "Fulmarhitch-Outcome"
 	// Reason holds the reason of an outcome that is not answered.
 	Reason = "Fulmarhitch-Reason"
@@ -46,7 +46,7 @@
 // Transparent returns the headers of h without the hop-by-hop ones, among them those between VMs.
 func Transparent(h http.Header) http.Header {
 	return filter(h, func(name string) bool {
-		return isHopByHop(name) || name == Detour || name == RulesVersion || name == Upstream
+		return isHopByHop(name) || name == Detour || name == RulesVersion || name == Upstream || name == Outcome || name == Reason
 	})
 }
 
--- a/ingress/handle.go
+++ b/ingress/handle.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/fulmarhitch/fulmarhitch/buffer"
+	"github.com/fulmarhitch/fulmarhitch/detour"
 	"github.com/fulmarhitch/fulmarhitch/forwarder"
 	"github.com/fulmarhitch/fulmarhitch/header"
 	"github.com/fulmarhitch/fulmarhitch/keepalive"
@@ -47,6 +48,8 @@
 	retryAfter time.Duration
 	// isUntried reports that the request was not sent to any upstream, so that a VM that passed it on may ask another one.
 	isUntried bool
+	// outcome is the outcome that the answer tells a VM that passed the request on, or empty.
+	outcome string
 }
 
 // serve answers one request.
@@ -220,13 +223,13 @@
 		// An error means that the caller disconnected, which also cancels the request's context.
 		_, _ = w.Write(out.Body)
 	case outcome.NotRun:
-		s.writeError(w, r, errorResponse{statusOf(out), string(out.Reason), retryDelay(out), out.Reason == outcome.CutOff})
+		s.writeError(w, r, errorResponse{statusOf(out), string(out.Reason), retryDelay(out), out.Reason == outcome.CutOff, detour.NotRun})
 	case outcome.Unknown:
 		if out.Reason == outcome.Cancelled {
 			// The caller no longer waits for an answer.
 			panic(http.ErrAbortHandler)
 		}
-		s.writeError(w, r, errorResponse{status: statusOf(out), text: string(out.Reason)})
+		s.writeError(w, r, errorResponse{status: statusOf(out), text: string(out.Reason), outcome: detour.Unknown})
 	}
 }
 
@@ -287,8 +290,8 @@
 		after := resp.retryAfter.Seconds() * (0.75 + 0.5*rand.Float64())
 		h.Set("Retry-After", strconv.FormatFloat(after, 'f', 3, 64))
 	}
-	if resp.isUntried && r.Header.Get(header.Detour) != "" {
-		h.Set(header.Detour, "refused")
+	if r.Header.Get(header.Detour) != "" {
+		tellVM(h, resp)
 	}
 	if s.config.Dialect.PromisesNotRun(resp.status) {
 		s.config.Metrics.Promised(resp.status, telemetry.FromVM)
--- a/ingress/passed.go
+++ b/ingress/passed.go
@@ -14,7 +14,18 @@
 
 // untried returns the error response to a request that was not sent to any upstream.
 func untried(text string, retryAfter time.Duration) *errorResponse {
-	return &errorResponse{http.StatusServiceUnavailable, text, retryAfter, true}
+	return &errorResponse{status: http.StatusServiceUnavailable, text: text, retryAfter: retryAfter, isUntried: true}
+}
+
+// tellVM tells the VM that passed the request on what became of it, by the headers of an answer that no upstream gave.
+func tellVM(h http.Header, resp errorResponse) {
+	if resp.isUntried {
+		h.Set(header.Detour, "refused")
+	}
+	if resp.outcome != "" {
+		h.Set(header.Outcome, resp.outcome)
+		h.Set(header.Reason, resp.text)
+	}
 }
 
 // checkPassed reports whether another VM has passed the request on. It returns an error response if the request is meant for a VM
--- a/ingress/passed_test.go
+++ b/ingress/passed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -40,13 +41,14 @@
 		status      int
 		isRefused   bool
 		upstream    string
+		told        string
 	}{
 		"a caller's own":             {out: answered, status: 200},
 		"a caller's own, cut off":    {out: outcome.NotRun{Reason: outcome.CutOff}, status: 503},
 		"passed on":                  {vm: "vm", version: "1", out: answered, status: 200, upstream: "5 u2"},
-		"passed on, full":            {vm: "vm", version: "1", out: outcome.NotRun{Reason: outcome.QueueFull}, status: 503, upstream: "5 u2"},
-		"passed on, unknown":         {vm: "vm", version: "1", out: outcome.Unknown{Reason: outcome.ConnectionLost}, status: 502, upstream: "5 u2"},
-		"passed on, cut off too":     {vm: "vm", version: "1", out: outcome.NotRun{Reason: outcome.CutOff}, status: 503, isRefused: true, upstream: "5 u2"},
+		"passed on, full":            {vm: "vm", version: "1", out: outcome.NotRun{Reason: outcome.QueueFull}, status: 503, upstream: "5 u2", told: "not-run queue-full"},
+		"passed on, unknown":         {vm: "vm", version: "1", out: outcome.Unknown{Reason: outcome.ConnectionLost}, status: 502, upstream: "5 u2", told: "unknown connection-lost"},
+		"passed on, cut off too":     {vm: "vm", version: "1", out: outcome.NotRun{Reason: outcome.CutOff}, status: 503, isRefused: true, upstream: "5 u2", told: "not-run cut-off"},
 		"passed on, older rules":     {vm: "vm", version: "2", out: answered, status: 503, isRefused: true},
 		"passed on, no version":      {vm: "vm", out: answered, status: 400},
 		"passed on to another VM":    {vm: "other", version: "1", out: answered, status: 503, isRefused: true},
@@ -77,6 +79,7 @@
 			So(resp.StatusCode, ShouldEqual, test.status)
 			So(resp.Header.Get(header.Detour) != "", ShouldEqual, test.isRefused)
 			So(resp.Header.Get(header.Upstream), ShouldEqual, test.upstream)
+			So(strings.TrimSpace(resp.Header.Get(header.Outcome)+" "+resp.Header.Get(header.Reason)), ShouldEqual, test.told)
 			So(isPassed, ShouldEqual, test.status < 500 && test.status != 400 && test.vm != "" || test.upstream != "")
 		})
 	}
--- a/metric/class.go
+++ b/metric/class.go
@@ -32,7 +32,7 @@
 		outcome.NotReady, outcome.TooDeep, outcome.Unreachable, outcome.Cancelled,
 	}
 	unknownReasons = []outcome.Reason{
-		outcome.Timeout, outcome.ConnectionLost, outcome.Truncated, outcome.Mismatched, outcome.KeyExpired,
+		outcome.Timeout, outcome.ConnectionLost, outcome.Truncated, outcome.Mismatched, outcome.Unconfirmed, outcome.KeyExpired,
 		outcome.HomeGone, outcome.KeyUsed, outcome.AnswerNotKept, outcome.LedgerFull,
 	}
 )
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -54,6 +54,8 @@
 	Truncated Reason = "truncated"
 	// Mismatched marks an answer that names another request.
 	Mismatched Reason = "mismatched"
+	// Unconfirmed marks an answer that says like a refusal that the request did not run, without being one.
+	Unconfirmed Reason = "unconfirmed"
 	// KeyExpired marks a key whose record may already have been deleted.
 	KeyExpired Reason = "key-expired"
 	// HomeGone marks a key whose incarnation is no longer reachable.
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -97,6 +97,8 @@
 		standin.Encode, standin.Unstamped, standin.Garbage, standin.Hang, standin.Misdirected,
 		standin.EndlessHead, standin.EndlessBody, standin.EndlessInterim, standin.EndlessTrailers, standin.EndlessIdle,
 		standin.EndlessHealth, standin.Drip, standin.DripHead,
+		standin.Unavailable, standin.TooMany, standin.TimeOut, standin.DeniedSuccess, standin.DeniedFailure, standin.StampedMisdirected,
+		standin.RepeatRefusal,
 	}
 	u, behaviour := s.upstreams[r.IntN(len(s.upstreams))], behaviours[r.IntN(len(behaviours))]
 	return fmt.Sprintf("%s with behaviour %s", u.ID, behaviour),
