Keep the heap of a gateway below the memory of its VM

Other operators report that a machine ran out of memory while instances sent bytes without end, and that the requests of other clients ended with it. Cause: no limit on the heap. The class: a bound on parts is taken for one on the whole. Change: the garbage collector keeps the heap near three quarters of the setting memory.

--- a/cmd/fulmarhitch/gateway.go
+++ b/cmd/fulmarhitch/gateway.go
@@ -1,12 +1,18 @@
 package main
 
 import (
+	"runtime/debug"
+
 	"github.com/cockroachdb/errors"
 
 	"github.com/fulmarhitch/fulmarhitch/gateway"
 	"github.com/fulmarhitch/fulmarhitch/platform"
 )
 
+// heapShare is the share of a gateway's memory near which its garbage collector works as often as needed. The rest is for the program
+// itself and for what is taken between two collections.
+const heapShare = 0.75
+
 type gatewayCommand struct {
 	Settings string `help:"Settings file." required:"" type:"path"`
 }
@@ -17,6 +23,7 @@
 	if err != nil {
 		return withStatus(statusRefused, err)
 	}
+	debug.SetMemoryLimit(int64(float64(s.Memory) * heapShare * (1 << 20)))
 	store := platform.New(s.StoreAddress)
 	defer store.Close()
 	g, err := gateway.New(s, gateway.Config{
