Pass the target of a request on in the bytes that were read

An upstream ran /0/record of the host names, which nobody had asked for, when a caller asked for //names/0/record (UNASKED). Cause: the target was parsed and written again. net/http writes one that begins with two slashes as an absolute URL, and the rule was found by a path that the parser had escaped anew. Targets in absolute form, which HTTP/1.1 obliges servers to take, were refused or not found. Change: the exchange writes the request line and the headers itself, and the rule is found by the bytes that are sent. An absolute target is passed on as its path and query; other targets get 400.

--- a/exchange/attempt.go
+++ b/exchange/attempt.go
@@ -1,15 +1,11 @@
 package exchange
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
-	"net/url"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/net/http/httpguts"
 
 	"github.com/fulmarhitch/fulmarhitch/backoff"
 	"github.com/fulmarhitch/fulmarhitch/buffer"
@@ -71,7 +67,7 @@
 // request was written.
 func (a *attempt) run(ctx context.Context) (res Result, stale bool) {
 	a.conn, a.reused, a.grace = nil, false, callerGrace
-	req, err := a.httpRequest()
+	head, err := a.head()
 	if err != nil {
 		return unsent(outcome.BadRequest, err.Error()), false
 	}
@@ -91,7 +87,7 @@
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := context.AfterFunc(attemptCtx, c.interrupt)
-	resp, written, err := a.roundTrip(attemptCtx, cancel, req)
+	resp, written, err := a.roundTrip(attemptCtx, cancel, head)
 	if err != nil {
 		stop()
 		return a.resultWithoutAnswer(ctx, err)
@@ -117,18 +113,18 @@
 }
 
 // roundTrip writes the request and reads the headers of its answer; written reports whether the whole request was written.
-func (a *attempt) roundTrip(ctx context.Context, cancel context.CancelFunc, req *http.Request) (resp *http.Response, written func() bool, err error) {
+func (a *attempt) roundTrip(ctx context.Context, cancel context.CancelFunc, head []byte) (resp *http.Response, written func() bool, err error) {
 	if len(a.request.Body) <= maxSyncBody {
-		if err := a.conn.writeRequest(req); err != nil {
+		if err := a.conn.writeRequest(head, a.request.Body); err != nil {
 			return nil, nil, err
 		}
-		resp, err = a.receive(ctx, cancel, req)
+		resp, err = a.receive(ctx, cancel)
 		return resp, func() bool { return true }, err
 	}
 	sent := make(chan error, 1)
-	c := a.conn
-	go func() { sent <- c.writeRequest(req) }()
-	resp, err = a.receive(ctx, cancel, req)
+	c, body := a.conn, a.request.Body
+	go func() { sent <- c.writeRequest(head, body) }()
+	resp, err = a.receive(ctx, cancel)
 	return resp, func() bool {
 		select {
 		case err := <-sent:
@@ -141,14 +137,14 @@
 
 // receive reads the headers of the answer. It reads and drops answers to other requests that precede it, up to the
 // dialect's limit, and informational ones. The bound on the time to read the answer stays in force.
-func (a *attempt) receive(ctx context.Context, cancel context.CancelFunc, req *http.Request) (*http.Response, error) {
+func (a *attempt) receive(ctx context.Context, cancel context.CancelFunc) (*http.Response, error) {
 	for skipped, interim := 0, 0; ; {
 		if err := a.conn.awaitResponse(); err != nil {
 			return nil, err
 		}
 		a.observer.Heard()
 		a.beginMessage(ctx, cancel)
-		resp, err := a.conn.readResponse(req)
+		resp, err := a.conn.readResponse(a.request.Method)
 		switch {
 		case err != nil:
 		case isInformational(resp):
@@ -194,41 +190,6 @@
 	return resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols
 }
 
-// httpRequest converts the request to one of net/http and leaves the path unchanged. It returns an error if a part of the
-// request can't be sent.
-func (a *attempt) httpRequest() (*http.Request, error) {
-	r := a.request
-	req := &http.Request{
-		Method: r.Method, Host: a.upstream.Address, ContentLength: int64(len(r.Body)),
-		Header: a.dialect.upstreamHeader(r, a.upstream, time.Now()),
-		URL:    &url.URL{Scheme: "http", Host: a.upstream.Address, Opaque: a.dialect.target(r)},
-	}
-	if a.dialect.Verbatim && r.Host != "" {
-		req.Host = r.Host
-	}
-	if !httpguts.ValidHeaderFieldName(r.Method) {
-		return nil, errors.Newf("method %q is invalid", r.Method)
-	}
-	for name, values := range req.Header {
-		if !httpguts.ValidHeaderFieldName(name) || !isValid(values) {
-			return nil, errors.Newf("header %q is invalid", name)
-		}
-	}
-	if len(r.Body) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(r.Body))
-	}
-	return req, nil
-}
-
-func isValid(values []string) bool {
-	for _, v := range values {
-		if !httpguts.ValidHeaderFieldValue(v) {
-			return false
-		}
-	}
-	return true
-}
-
 // resultWithoutAnswer returns the result of a request that received no answer.
 func (a *attempt) resultWithoutAnswer(ctx context.Context, err error) (res Result, stale bool) {
 	if a.conn != nil && a.conn.abort() {
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -126,9 +126,12 @@
 }
 
 // writeRequest writes the whole request.
-func (c *conn) writeRequest(req *http.Request) error {
+func (c *conn) writeRequest(head, body []byte) error {
 	c.writer.Reset(c)
-	if err := req.Write(c.writer); err != nil {
+	if _, err := c.writer.Write(head); err != nil {
+		return err
+	}
+	if _, err := c.writer.Write(body); err != nil {
 		return err
 	}
 	return c.writer.Flush()
@@ -141,9 +144,9 @@
 	return err
 }
 
-// readResponse reads the headers of a response, which may be informational.
-func (c *conn) readResponse(req *http.Request) (*http.Response, error) {
-	resp, err := http.ReadResponse(c.reader, req)
+// readResponse reads the headers of a response, which may be informational, to a request with the method.
+func (c *conn) readResponse(method string) (*http.Response, error) {
+	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	if err == nil {
 		c.limited.N = math.MaxInt64
 	}
--- a/ingress/handle.go
+++ b/ingress/handle.go
@@ -105,7 +105,11 @@
 	if n := set.Limits.HeaderBytes; n > 0 && headerSize(r) > n {
 		return noJob, &errorResponse{status: http.StatusRequestHeaderFieldsTooLarge, text: "headers exceed " + strconv.FormatInt(n, 10) + " bytes"}
 	}
-	rule := set.Find(r.Host, r.URL.EscapedPath())
+	target, path, ok := target(r)
+	if !ok {
+		return noJob, &errorResponse{status: http.StatusBadRequest, text: "request target " + strconv.Quote(r.RequestURI) + " is neither a path nor an http URL"}
+	}
+	rule := set.Find(r.Host, path)
 	if rule == nil && s.config.RulesAge() > s.config.MaxRulesAge {
 		return noJob, untried("not-ready: no rule for this host and path, and newer rules may exist", retryAfterUnready)
 	}
@@ -129,7 +133,7 @@
 	return forwarder.Job{
 		Request: &request.Request{
 			ID: id, Service: service, Kind: rule.Name, Class: rule.Name, Host: r.Host, Method: r.Method,
-			Path: r.RequestURI, Header: r.Header, Body: body, Deadline: deadline, Idempotent: rule.Idempotent,
+			Path: target, Header: r.Header, Body: body, Deadline: deadline, Idempotent: rule.Idempotent,
 		},
 		Rule: rule, HealthPath: set.Services[service].HealthPath, Arrived: arrived,
 		HasLeft:      func() bool { return keepalive.HasLeft(r.Context()) },
