Tell the deaths of an upstream's incarnations apart

Cause: a death was identified by the ID of the upstream, so that the second one counted as the first, seen again. The class: identity by name in place of name and start. Change: a death is identified by ID and start. The form in which VMs share deaths is unchanged; while old and new VMs run side by side, one death that both report counts as two. Looked at: notices and quotas are held by incarnation; connections break when the process ends; attempts exclude by ID and address, which excludes too much rather than too little; conditions are by ID and are forgotten within 1.3 s.

--- a/crash/guard.go
+++ b/crash/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
@@ -61,7 +62,7 @@
 
 // RecordDeath records that the upstream died while it ran the request, and queues a report for the other VMs.
 func (g *Guard) RecordDeath(r *request.Request, up roster.Upstream) {
-	e := quarantine.Entry{Fingerprint: r.Fingerprint(), Death: xxhash.Sum64String(up.ID), At: time.Now()}
+	e := quarantine.Entry{Fingerprint: r.Fingerprint(), Death: deathOf(up), At: time.Now()}
 	g.log.WithFields(logrus.Fields{"request": r.ID, "upstream": up.ID}).Warn("upstream died while it ran a request")
 	if g.Learn(e) {
 		// If the ring is full, many deaths are already being reported and this one is dropped.
@@ -69,6 +70,11 @@
 	}
 }
 
+// deathOf identifies the death of the upstream's present incarnation.
+func deathOf(up roster.Upstream) uint64 {
+	return xxhash.Sum64String(strconv.FormatInt(up.StartedMS, 10) + " " + up.ID)
+}
+
 // Answered clears a request that an upstream has answered.
 func (g *Guard) Answered(r *request.Request) {
 	g.mu.Lock()
--- a/crash/guard_test.go
+++ b/crash/guard_test.go
@@ -75,3 +75,30 @@
 		synctest.Wait()
 	})
 }
+
+// TestDeathsOfOneUpstream guards against a crashing request that is never quarantined because its upstream starts again under its ID, and
+// against a quarantine after a single death.
+func TestDeathsOfOneUpstream(t *testing.T) {
+	tests := map[string]struct {
+		deaths []roster.Upstream
+		want   bool
+	}{
+		"one death that two requests report": {[]roster.Upstream{{ID: "a", StartedMS: 1}, {ID: "a", StartedMS: 1}}, false},
+		"two incarnations of one ID":         {[]roster.Upstream{{ID: "a", StartedMS: 1}, {ID: "a", StartedMS: 2}}, true},
+		"two IDs":                            {[]roster.Upstream{{ID: "a", StartedMS: 1}, {ID: "b", StartedMS: 1}}, true},
+		"IDs that end in digits":             {[]roster.Upstream{{ID: "a1", StartedMS: 1}, {ID: "a", StartedMS: 11}}, true},
+		"no stated start":                    {[]roster.Upstream{{ID: "a"}, {ID: "a"}}, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := crash.New(&peerStore{}, discardLogger())
+			r := &request.Request{ID: "1", Service: "s", Path: "/bad"}
+			for _, up := range test.deaths {
+				g.RecordDeath(r, up)
+			}
+			if got := g.IsQuarantined(r); got != test.want {
+				t.Errorf("quarantined: %t, want %t", got, test.want)
+			}
+		})
+	}
+}
