--- a/soak/soak.go
+++ b/soak/soak.go
@@ -18,8 +18,6 @@
 )
 
 const (
-	gateways            = 4
-	upstreamsPerService = 4
 	// serviceTime is the service time of a request at an upstream.
 	serviceTime = 15 * time.Millisecond
 	// callPause is the time between two calls of one kind.
@@ -42,7 +40,11 @@
 
 // Soak is one run.
 type Soak struct {
-	bin, logs    string
+	bin, logs string
+	// gateways and upstreamsPerService are the numbers of processes and stand-ins.
+	gateways, upstreamsPerService int
+	// production is the folder of the programs that VMs run until their first restart.
+	production   string
 	random       *rand.Rand
 	store        *standin.Store
 	storeAddress string
@@ -74,10 +76,18 @@
 	proxy *faultproxy.Proxy
 }
 
-// New returns a run that uses the programs in the folder bin and writes logs to the folder logs. The seed determines the
-// faults.
-func New(bin, logs string, seed uint64) *Soak {
-	return &Soak{bin: bin, logs: logs, random: rand.New(rand.NewPCG(seed, 1)), store: standin.NewStore(), version: 1}
+// New returns a run of gateways and of upstreams for each of two services, that uses the programs in the folder bin and writes logs to
+// the folder logs. The seed determines the faults.
+func New(bin, logs string, seed uint64, gateways, upstreamsPerService int) *Soak {
+	return &Soak{
+		bin: bin, production: bin, logs: logs, gateways: gateways, upstreamsPerService: upstreamsPerService,
+		random: rand.New(rand.NewPCG(seed, 1)), store: standin.NewStore(), version: 1,
+	}
+}
+
+// UpgradeFrom makes the VMs run the programs in the folder production until their first restart. It must be called before Run.
+func (s *Soak) UpgradeFrom(production string) {
+	s.production = production
 }
 
 // Run starts the processes, injects faults for the duration and returns the violated guarantees, or an error if the run
@@ -116,14 +126,14 @@
 	}
 	s.store.Put(standin.ConfigurationKey, standin.Configuration(1))
 	for _, service := range []string{"read", "write"} {
-		for i := range upstreamsPerService {
+		for i := range s.upstreamsPerService {
 			if err := s.startUpstream(fmt.Sprintf("i-%s-%d", service, i), service); err != nil {
 				return err
 			}
 		}
 	}
 	var directories []string
-	for i := range gateways {
+	for i := range s.gateways {
 		v, err := s.newVM(fmt.Sprintf("vm-%d", i))
 		if err == nil {
 			err = s.startVM(v)
@@ -166,8 +176,12 @@
 
 // startVM starts the VM's process.
 func (s *Soak) startVM(v *vm) error {
+	bin := s.bin
+	if v.starts == 0 {
+		bin = s.production
+	}
 	v.starts++
-	p, err := program.Start(s.bin, s.logs, fmt.Sprintf("%s-%d", v.name, v.starts), "fulmarhitch", "gateway", "--settings", v.File)
+	p, err := program.Start(bin, s.logs, fmt.Sprintf("%s-%d", v.name, v.starts), "fulmarhitch", "gateway", "--settings", v.File)
 	if err == nil {
 		v.process = p
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -17,6 +17,9 @@
 	first      = flag.Uint64("first", 1, "first seed")
 	seeds      = flag.Uint64("seeds", 1, "number of seeds")
 	duration   = flag.Duration("duration", 6*time.Second, "duration of the faults for each seed")
+	production = flag.String("production", "", "folder with the program of another version that the VMs run until their first restart")
+	gateways   = flag.Int("gateways", 4, "number of gateways")
+	upstreams  = flag.Int("upstreams", 4, "number of upstreams of each service")
 	keepFolder = flag.String("keep", "", "folder to which the logs of failed seeds are copied")
 )
 
@@ -41,7 +44,10 @@
 // runSeed runs one seed and reports violated guarantees.
 func runSeed(t *testing.T, bin string, seed uint64) {
 	logs := t.TempDir()
-	s := soak.New(bin, logs, seed)
+	s := soak.New(bin, logs, seed, *gateways, *upstreams)
+	if *production != "" {
+		s.UpgradeFrom(*production)
+	}
 	violations, err := s.Run(*duration)
 	if err != nil {
 		t.Fatal(err)
