--- a/detour/detour_test.go
+++ b/detour/detour_test.go
@@ -139,7 +139,7 @@
 		want outcome.Outcome
 	}{
 		"not run":                   {answer(503, header.Outcome, "not-run", header.Reason, "queue-full", "Retry-After", "0.5"), outcome.NotRun{Reason: outcome.QueueFull, RetryAfter: 500 * time.Millisecond}},
-		"not run, unreadable time":  {answer(503, header.Outcome, "not-run", header.Reason, "limited", "Retry-After", "soon"), outcome.NotRun{Reason: outcome.Limited}},
+		"not run, unreadable time":  {answer(503, header.Outcome, "not-run", header.Reason, "limited", "Retry-After", "soon"), outcome.NotRun{Reason: outcome.Limited, Detail: `time to return "soon" of another VM can't be used`}},
 		"unknown":                   {answer(504, header.Outcome, "unknown", header.Reason, "timeout"), outcome.Unknown{Reason: outcome.Timeout, Detail: "outcome at another VM"}},
 		"not run, with a success":   {answer(200, header.Outcome, "not-run", header.Reason, "queue-full"), doubt},
 		"nothing, of an older VM":   {answer(503), doubt},
--- a/detour/dialect.go
+++ b/detour/dialect.go
@@ -1,6 +1,7 @@
 package detour
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -43,7 +44,8 @@
 	case resp.Header.Get(header.Detour) != "":
 		return exchange.Refusal{Outcome: outcome.NotRun{Reason: outcome.CutOff}}
 	case told == NotRun && resp.StatusCode == http.StatusServiceUnavailable:
-		return exchange.Refusal{Outcome: outcome.NotRun{Reason: reason, RetryAfter: retryAfter(resp.Header)}}
+		after, detail := retryAfter(resp.Header)
+		return exchange.Refusal{Outcome: outcome.NotRun{Reason: reason, Detail: detail, RetryAfter: after}}
 	case told == Unknown:
 		return exchange.Doubt{Outcome: outcome.Unknown{Reason: reason, Detail: "outcome at another VM"}}
 	}
@@ -54,13 +56,17 @@
 	return s
 }
 
-// retryAfter returns the time that the header Retry-After states, or 0.
-func retryAfter(h http.Header) time.Duration {
-	seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
+// retryAfter returns the time that the header Retry-After states, or 0 and what is wrong with it. A missing header states nothing.
+func retryAfter(h http.Header) (after time.Duration, detail string) {
+	text := h.Get("Retry-After")
+	if text == "" {
+		return 0, ""
+	}
+	seconds, err := strconv.ParseFloat(text, 64)
 	if err != nil || !(seconds >= 0 && seconds <= maxRetryAfter.Seconds()) {
-		return 0
+		return 0, fmt.Sprintf("time to return %q of another VM can't be used", text)
 	}
-	return time.Duration(seconds * float64(time.Second))
+	return time.Duration(seconds * float64(time.Second)), ""
 }
 
 // endToEnd returns the headers that pass a hop, and those between VMs that are set before and read after it.
--- a/ingress/handle.go
+++ b/ingress/handle.go
@@ -227,7 +227,9 @@
 		// An error means that the caller disconnected, which also cancels the request's context.
 		_, _ = w.Write(out.Body)
 	case outcome.NotRun:
-		s.writeError(w, r, errorResponse{statusOf(out), string(out.Reason), retryDelay(out), out.Reason == outcome.CutOff, detour.NotRun})
+		s.writeError(w, r, errorResponse{
+			status: statusOf(out), text: string(out.Reason), retryAfter: retryDelay(out), isUntried: out.Reason == outcome.CutOff, outcome: detour.NotRun,
+		})
 	case outcome.Unknown:
 		if out.Reason == outcome.Cancelled {
 			// The caller no longer waits for an answer.
