--- a/soak/fault.go
+++ b/soak/fault.go
@@ -16,7 +16,8 @@
 type fault func(s *Soak, r *rand.Rand) (name string, begin, end func())
 
 var faults = []fault{killGateway, shutDownGateway, suspendGateway, storeLinkFault, upstreamLinkFault, upstreamBehaviour,
-	storeFault, dropStoreHistory, changeConfiguration, drainUpstream, upstreamNotice}
+	storeFault, dropStoreHistory, changeConfiguration, drainUpstream, restartUpstream,
+	upstreamNotice}
 
 // injectFaults begins faults, which may overlap, for the duration and returns when all have ended.
 func (s *Soak) injectFaults(duration time.Duration) {
@@ -126,6 +127,21 @@
 	return "configuration changed", func() { s.configure("/new/") }, func() {}
 }
 
+func restartUpstream(s *Soak, r *rand.Rand) (string, func(), func()) {
+	u := s.upstreams[r.IntN(len(s.upstreams))]
+	return u.ID + " crashed, later started again under its ID", func() {
+			u.processFault.Lock()
+			u.Close()
+		}, func() {
+			defer u.processFault.Unlock()
+			if err := u.Start(); err != nil {
+				s.recordEvent(fmt.Sprintf("%s did not start: %v", u.ID, err))
+				return
+			}
+			s.store.Put(u.Key(), u.EntryAt(u.proxy.Address(), "ready"))
+		}
+}
+
 func drainUpstream(s *Soak, r *rand.Rand) (string, func(), func()) {
 	u := s.upstreams[r.IntN(len(s.upstreams))]
 	putState := func(state string) func() { return func() { s.store.Put(u.Key(), u.EntryAt(u.proxy.Address(), state)) } }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -74,6 +74,8 @@
 type upstream struct {
 	*standin.Upstream
 	proxy *faultproxy.Proxy
+	// processFault is locked while the upstream is not running.
+	processFault sync.Mutex
 }
 
 // New returns a run of gateways and of upstreams for each of two services, that uses the programs in the folder bin and writes logs to
@@ -159,7 +161,7 @@
 	if err != nil {
 		return err
 	}
-	s.upstreams = append(s.upstreams, &upstream{u, l})
+	s.upstreams = append(s.upstreams, &upstream{Upstream: u, proxy: l})
 	s.store.Put(u.Key(), u.EntryAt(l.Address(), "ready"))
 	return nil
 }
