--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -106,11 +106,11 @@
 	}
 	reason := outcome.Reason(resp.Header.Get(header.Reason))
 	switch kind := resp.Header.Get(header.Outcome); kind {
-	case "answered":
+	case header.Answered:
 		return outcome.Answered{Status: resp.StatusCode, Header: endToEnd(resp.Header), Body: body}
-	case "not-run":
+	case header.NotRun:
 		return outcome.NotRun{Reason: reason, Detail: detail(body)}
-	case "unknown":
+	case header.Unknown:
 		return outcome.Unknown{Reason: reason, Detail: detail(body)}
 	default:
 		return outcome.Unknown{Reason: outcome.Mismatched, Detail: "the answer has the outcome " + strconv.Quote(kind)}
--- a/detour/dialect.go
+++ b/detour/dialect.go
@@ -28,14 +28,6 @@
 	return d
 }
 
-// Outcomes that a VM states to the one that passed the request on.
-const (
-	// NotRun states that no upstream has run the request.
-	NotRun = "not-run"
-	// Unknown states that the request may have run.
-	Unknown = "unknown"
-)
-
 // statement returns what the answer of a VM states: its own outcome, or what the upstream's answer states that it passes back. A VM
 // that states no outcome may be of an older version; its status alone is no evidence that no upstream has run the request.
 func statement(resp *http.Response, ofUpstream func(*http.Response) exchange.Statement) exchange.Statement {
@@ -43,10 +35,10 @@
 	switch told := resp.Header.Get(header.Outcome); {
 	case resp.Header.Get(header.Detour) != "":
 		return exchange.Refusal{Outcome: outcome.NotRun{Reason: outcome.CutOff}}
-	case told == NotRun && resp.StatusCode == http.StatusServiceUnavailable:
+	case told == header.NotRun && resp.StatusCode == http.StatusServiceUnavailable:
 		after, detail := retryAfter(resp.Header)
 		return exchange.Refusal{Outcome: outcome.NotRun{Reason: reason, Detail: detail, RetryAfter: after}}
-	case told == Unknown:
+	case told == header.Unknown:
 		return exchange.Doubt{Outcome: outcome.Unknown{Reason: reason, Detail: "outcome at another VM"}}
 	}
 	s := ofUpstream(resp)
--- a/frontend/call_test.go
+++ b/frontend/call_test.go
@@ -46,12 +46,12 @@
 		path, ran, outcome string
 		status             int
 	}{
-		"plain":          {"/v1/call/s/k/a?b=c", "a?b=c", outcomeAnswered, 200},
-		"empty segment":  {"/v1/call/s/k/a//b", "a//b", outcomeAnswered, 200},
-		"dots in names":  {"/v1/call/s/k/..a/.b", "..a/.b", outcomeAnswered, 200},
-		"parent":         {"/v1/call/s/k/../other/a", "", outcomeNotRun, 400},
-		"escaped parent": {"/v1/call/s/k/%2e%2e/other/a", "", outcomeNotRun, 400},
-		"escaped slash":  {"/v1/call/s/k/a%2F..%2Fb", "", outcomeNotRun, 400},
+		"plain":          {"/v1/call/s/k/a?b=c", "a?b=c", header.Answered, 200},
+		"empty segment":  {"/v1/call/s/k/a//b", "a//b", header.Answered, 200},
+		"dots in names":  {"/v1/call/s/k/..a/.b", "..a/.b", header.Answered, 200},
+		"parent":         {"/v1/call/s/k/../other/a", "", header.NotRun, 400},
+		"escaped parent": {"/v1/call/s/k/%2e%2e/other/a", "", header.NotRun, 400},
+		"escaped slash":  {"/v1/call/s/k/a%2F..%2Fb", "", header.NotRun, 400},
 		"not a call":     {"/v1/calls/s/k/a", "", "", 404},
 	}
 	for name, c := range cases {
--- a/frontend/outcome.go
+++ b/frontend/outcome.go
@@ -8,13 +8,6 @@
 	"github.com/fulmarhitch/fulmarhitch/outcome"
 )
 
-// Values of the Fulmarhitch-Outcome header.
-const (
-	outcomeAnswered = "answered"
-	outcomeNotRun   = "not-run"
-	outcomeUnknown  = "unknown"
-)
-
 // writeOutcome writes the response to a call. Its body has a Content-Length, so that a caller detects a truncated
 // response.
 func writeOutcome(w http.ResponseWriter, id string, out outcome.Outcome) {
@@ -27,14 +20,14 @@
 		for name, values := range o.Header {
 			h[name] = values
 		}
-		h.Set(header.Outcome, outcomeAnswered)
+		h.Set(header.Outcome, header.Answered)
 		writeBody(w, o.Status, o.Body)
 	case outcome.NotRun:
-		h.Set(header.Outcome, outcomeNotRun)
+		h.Set(header.Outcome, header.NotRun)
 		h.Set(header.Reason, string(o.Reason))
 		writeBody(w, notRunStatus(o.Reason), detailBody(string(o.Reason), o.Detail))
 	case outcome.Unknown:
-		h.Set(header.Outcome, outcomeUnknown)
+		h.Set(header.Outcome, header.Unknown)
 		h.Set(header.Reason, string(o.Reason))
 		writeBody(w, http.StatusBadGateway, detailBody(string(o.Reason), o.Detail))
 	default:
--- a/header/header.go
+++ b/header/header.go
@@ -15,7 +15,7 @@
 	Key = "Fulmarhitch-Key"
 	// Depth counts the calls that led to the request.
 	Depth = "Fulmarhitch-Depth"
-	// Outcome holds the outcome of the request: answered, not-run or unknown. Between VMs, only an answer of a VM itself has it.
+	// Outcome holds the outcome of the request: Answered, NotRun or Unknown. Between VMs, only an answer of a VM itself has it.
 	Outcome = "Fulmarhitch-Outcome"
 	// Reason holds the reason of an outcome that is not answered.
 	Reason = "Fulmarhitch-Reason"
@@ -36,6 +36,16 @@
 	protocolPrefix = "Fulmarhitch-"
 )
 
+// Values of Outcome.
+const (
+	// Answered states that the answer is that of the upstream that ran the request.
+	Answered = "answered"
+	// NotRun states that no upstream has run the request and none will.
+	NotRun = "not-run"
+	// Unknown states that the request may have run.
+	Unknown = "unknown"
+)
+
 // EndToEnd returns the headers of h that pass a hop, under canonical names; it does not copy the values. It omits
 // hop-by-hop headers (RFC 9110, section 7.6.1), headers that let HTTP transports send a request again, and the headers of
 // this package.
--- a/ingress/handle.go
+++ b/ingress/handle.go
@@ -12,7 +12,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/fulmarhitch/fulmarhitch/buffer"
-	"github.com/fulmarhitch/fulmarhitch/detour"
 	"github.com/fulmarhitch/fulmarhitch/forwarder"
 	"github.com/fulmarhitch/fulmarhitch/header"
 	"github.com/fulmarhitch/fulmarhitch/keepalive"
@@ -228,14 +227,14 @@
 		_, _ = w.Write(out.Body)
 	case outcome.NotRun:
 		s.writeError(w, r, errorResponse{
-			status: statusOf(out), text: string(out.Reason), retryAfter: retryDelay(out), isUntried: out.Reason == outcome.CutOff, outcome: detour.NotRun,
+			status: statusOf(out), text: string(out.Reason), retryAfter: retryDelay(out), isUntried: out.Reason == outcome.CutOff, outcome: header.NotRun,
 		})
 	case outcome.Unknown:
 		if out.Reason == outcome.Cancelled {
 			// The caller no longer waits for an answer.
 			panic(http.ErrAbortHandler)
 		}
-		s.writeError(w, r, errorResponse{status: statusOf(out), text: string(out.Reason), outcome: detour.Unknown})
+		s.writeError(w, r, errorResponse{status: statusOf(out), text: string(out.Reason), outcome: header.Unknown})
 	}
 }
 
