--- a/exchange/head.go
+++ b/exchange/head.go
@@ -11,8 +11,8 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// framing holds the headers that are derived from the body.
-var framing = map[string]bool{"Host": true, "Content-Length": true, "Transfer-Encoding": true, "Trailer": true}
+// ownHeaders holds the headers that head writes itself, or that a request sent with its length has not.
+var ownHeaders = map[string]bool{"Host": true, "Content-Length": true, "Transfer-Encoding": true, "Trailer": true}
 
 // head returns the request line and the headers of the request, or an error if a part of it can't be sent. It is written here because
 // net/http writes a target that begins with two slashes as an absolute URL.
@@ -36,18 +36,18 @@
 	}
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, a.dialect.target(r), host)
-	if len(r.Body) > 0 || hasBody(r.Method) {
+	if len(r.Body) > 0 || statesEmptyBody(r.Method) {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
-	if err := h.WriteSubset(&b, framing); err != nil {
+	if err := h.WriteSubset(&b, ownHeaders); err != nil {
 		return nil, errors.Wrap(err, "headers")
 	}
 	b.WriteString("\r\n")
 	return b.Bytes(), nil
 }
 
-// hasBody reports whether requests with the method state the length of an empty body.
-func hasBody(method string) bool {
+// statesEmptyBody reports whether requests with the method state a length of 0 if they have no body.
+func statesEmptyBody(method string) bool {
 	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
 }
 
--- a/ingress/handle.go
+++ b/ingress/handle.go
@@ -104,7 +104,7 @@
 	if n := set.Limits.HeaderBytes; n > 0 && headerSize(r) > n {
 		return noJob, &errorResponse{status: http.StatusRequestHeaderFieldsTooLarge, text: "headers exceed " + strconv.FormatInt(n, 10) + " bytes"}
 	}
-	target, path, ok := target(r)
+	target, path, ok := originForm(r)
 	if !ok {
 		return noJob, &errorResponse{status: http.StatusBadRequest, text: "request target " + strconv.Quote(r.RequestURI) + " is neither a path nor an http URL"}
 	}
--- a/ingress/target.go
+++ b/ingress/target.go
@@ -5,9 +5,9 @@
 	"strings"
 )
 
-// target returns the request target in origin form and its path, in the bytes that were read, or false if the request has none. A
+// originForm returns the request target in origin form and its path, in the bytes that were read, or false if the request has none. A
 // target in absolute form names the host too, by which the HTTP server has replaced the Host header.
-func target(r *http.Request) (text, path string, ok bool) {
+func originForm(r *http.Request) (text, path string, ok bool) {
 	text = r.RequestURI
 	if !strings.HasPrefix(text, "/") {
 		_, rest, isAbsolute := strings.Cut(text, "://")
