Bound the age at which lists still name VMs that are gone

Cause: no VM knew how old a statement about another VM was. A VM that began to lead the list counted the earlier list as heard of at that moment, each time that the lead moved. Followers that called each other kept a third VM alive in their reports for ever, because a repeated report refreshed all VMs in it. A follower also took over an older list from a VM that had fallen behind.

Change: a VM's age counts from its own last report. Reports state the age of each VM, lists state their own age and the ages of the VMs that were silent for unusually long, and a list is replaced only by a later one. A VM that reports to the leading VM expires after 3.5 s as before, one that others report after 5 s, one of an earlier list after 7 s. The fields are additive: reports and lists of an earlier release have no ages and count as before.

--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -470,7 +470,7 @@
 	if l.network.isCutOff(l.from.vm.FailureDomain, to.vm.FailureDomain) {
 		return mirror.Batch{}, silence(ctx)
 	}
-	to.table.Record(l.from.table.Report(), time.Now())
+	to.table.Record(l.from.table.Report(time.Now()), time.Now())
 	waitCtx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	b, fresh := to.log.Since(waitCtx, after, to.table.Changed())
@@ -480,7 +480,7 @@
 	if l.network.get(l.to) == nil || b.Revision == 0 {
 		return mirror.Batch{}, errUnavailable
 	}
-	l.from.table.Apply(to.table.Changes(l.from.table.Position()))
+	l.from.table.Apply(to.table.Changes(l.from.table.Position(), time.Now()), time.Now())
 	if !fresh {
 		return mirror.Batch{}, mirror.ErrStale
 	}
--- a/presence/presence_test.go
+++ b/presence/presence_test.go
@@ -25,13 +25,12 @@
 
 // follow makes one call of the node to another one, and repeats it if the other one lacks the report.
 func (n *node) follow(to *node, omit bool) {
-	r := n.table.Report()
+	r := n.table.Report(time.Now())
 	if omit {
 		r.VMs = nil
 	}
 	known := to.table.Record(r, time.Now())
-	origin, version := n.table.Position()
-	n.table.Apply(to.table.Changes(origin, version))
+	n.table.Apply(to.table.Changes(n.table.Position(), time.Now()), time.Now())
 	if !known {
 		n.follow(to, false)
 	}
@@ -138,7 +137,7 @@
 		for range 8 {
 			round(root, rs, ls)
 		}
-		origin, version := root.table.Position()
+		position := root.table.Position()
 		changed := root.table.Changed()
 		newNode("new").follow(rs[0], false)
 		rs[0].follow(root, false)
@@ -148,10 +147,10 @@
 		default:
 			t.Error("the change isn't reported")
 		}
-		if l := root.table.Changes(origin, version); l.Whole || len(l.VMs) != 1 || len(l.Removed) != 0 {
+		if l := root.table.Changes(position, time.Now()); l.Whole || len(l.VMs) != 1 || len(l.Removed) != 0 {
 			t.Errorf("%d VMs and %d removals for one change, whole: %t", len(l.VMs), len(l.Removed), l.Whole)
 		}
-		if l := root.table.Changes("another root", version); !l.Whole || len(l.VMs) != 305 {
+		if l := root.table.Changes(presence.Position{Origin: "another root", Version: position.Version}, time.Now()); !l.Whole || len(l.VMs) != 305 {
 			t.Errorf("%d VMs for a follower of another root, whole: %t", len(l.VMs), l.Whole)
 		}
 	})
@@ -192,3 +191,122 @@
 		}
 	})
 }
+
+// namedUntil runs rounds until no table lists the VM or the time has passed, and returns the time that it took.
+func namedUntil(name string, limit time.Duration, nodes []*node, round func(n int)) time.Duration {
+	start := time.Now()
+	for n := 0; time.Since(start) < limit; n++ {
+		isNamed := false
+		for _, x := range nodes {
+			for _, vm := range x.list {
+				isNamed = isNamed || vm.Name == name
+			}
+		}
+		if !isNamed {
+			break
+		}
+		round(n)
+		for _, x := range nodes {
+			x.table.Expire(time.Now())
+		}
+		time.Sleep(500 * time.Millisecond)
+		synctest.Wait()
+	}
+	return time.Since(start)
+}
+
+// TestGoneVM guards against a VM that stays in the list for as long as the lead moves, or while VMs follow each other in a cycle or
+// get lists from a VM that has fallen behind.
+func TestGoneVM(t *testing.T) {
+	const bound = 8 * time.Second
+	tests := map[string]struct {
+		// round makes the calls of half a second among the first VM, which leads at the beginning, and the others.
+		round func(n int, nodes []*node)
+	}{
+		"the lead moves every 2 s": {func(n int, nodes []*node) {
+			leader, follower := nodes[n/4%2], nodes[1-n/4%2]
+			follower.table.Lead(false, "", time.Now())
+			leader.table.Lead(true, fmt.Sprint(n/4), time.Now())
+			for _, x := range nodes {
+				if x != leader {
+					x.follow(leader, true)
+				}
+			}
+		}},
+		"followers follow each other": {func(_ int, nodes []*node) {
+			nodes[1].follow(nodes[2], true)
+			nodes[2].follow(nodes[1], true)
+			nodes[1].follow(nodes[0], true)
+		}},
+		"the leading VM follows one that follows it": {func(_ int, nodes []*node) {
+			nodes[1].follow(nodes[0], true)
+			nodes[0].follow(nodes[1], true)
+			nodes[2].follow(nodes[0], true)
+		}},
+		"followers ask one that no longer follows": {func(_ int, nodes []*node) {
+			nodes[1].follow(nodes[0], true)
+			nodes[1].follow(nodes[2], true)
+		}},
+	}
+	for _, how := range []string{"left", "ended"} {
+		for name, test := range tests {
+			t.Run(name+", VM "+how, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					root, rs, ls := tree(1, 2)
+					gone := newNode("gone")
+					nodes := []*node{root, rs[0], ls[0]}
+					for range 8 {
+						for _, x := range []*node{gone, ls[0], ls[1]} {
+							x.follow(rs[0], true)
+						}
+						gone.follow(ls[0], true)
+						round(root, rs, nil)
+					}
+					if how == "left" {
+						gone.table.Leave()
+						gone.follow(rs[0], true)
+					}
+					// The last VM has the list from then on only by its own calls.
+					all := nodes
+					if name == "followers ask one that no longer follows" {
+						all = nodes[:2]
+					}
+					if took := namedUntil("gone", 30*time.Second, all, func(n int) { test.round(n, nodes) }); took > bound {
+						t.Errorf("still named after %s", took)
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestEarlierRelease guards against VMs that are lost because a VM of an earlier release, which states no ages, leads the list or
+// reports them.
+func TestEarlierRelease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		root, follower, leaf := newNode("root"), newNode("follower"), newNode("leaf")
+		root.table.Lead(true, "root-1", time.Now())
+		leaf.follow(follower, false)
+		report := follower.table.Report(time.Now())
+		report.Silences = nil
+		for range 20 {
+			if !root.table.Record(report, time.Now()) {
+				t.Fatal("the report is not known")
+			}
+			list := root.table.Changes(presence.Position{}, time.Now())
+			list.HasAge, list.Age, list.Silences = false, 0, nil
+			follower.table.Apply(list, time.Now())
+			root.table.Expire(time.Now())
+			time.Sleep(500 * time.Millisecond)
+			synctest.Wait()
+		}
+		if len(root.list) != 3 || len(follower.list) != 3 {
+			t.Errorf("%d and %d VMs listed, want 3", len(root.list), len(follower.list))
+		}
+		older := root.table.Changes(presence.Position{}, time.Now())
+		older.HasAge, older.Origin, older.VMs = false, "another root", older.VMs[:2]
+		if follower.table.Apply(older, time.Now()); len(follower.list) != 2 {
+			t.Errorf("%d VMs listed after a list without an age, want 2", len(follower.list))
+		}
+	})
+}
--- a/presence/table.go
+++ b/presence/table.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"hash"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -15,9 +16,19 @@
 )
 
 const (
-	// reportLifetime is the time after which a report that is not repeated expires. Followers call at least once a second
-	// and turn to another VM within 1.4 s.
-	reportLifetime = 3500 * time.Millisecond
+	// maxSilence is the time after which a VM expires that doesn't repeat its report to this one. Followers call at least
+	// once a second and turn to another VM within 1.4 s.
+	maxSilence = 3500 * time.Millisecond
+	// usualSilence is the longest silence that is usual of VMs that report to a follower of the leading VM. Lists state longer
+	// ones only.
+	usualSilence = 2500 * time.Millisecond
+	// usualLag is the usual time since the list of a follower was confirmed.
+	usualLag = time.Second
+	// maxPassedSilence replaces maxSilence for a VM that another one reports, which calls at least once a second too.
+	maxPassedSilence = maxSilence + 1500*time.Millisecond
+	// maxInheritedSilence replaces it for a VM of an earlier list. It leaves maxSilence to VMs with the usual silence after the
+	// lead has moved.
+	maxInheritedSilence = usualSilence + usualLag + maxSilence
 	// gatherDelay is the time for which a leading VM gathers reports before it changes the list.
 	gatherDelay = 200 * time.Millisecond
 	// maxRemoved is the number of removals that are kept; a follower that needs older ones gets the whole list.
@@ -40,6 +51,12 @@
 	// VMs are the VMs that were added or changed, and Removed are the names of those that were removed.
 	VMs     []fleet.VM
 	Removed []string
+	// HasAge reports whether Age and Silences are known. VMs of an earlier release don't state them.
+	HasAge bool
+	// Age is the time since the leading VM made the list or confirmed it.
+	Age time.Duration
+	// Silences are the times for which VMs had not reported themselves by then, by name, if they were unusually long.
+	Silences map[string]time.Duration
 }
 
 // Report is what a VM reports to the VM that it follows.
@@ -50,14 +67,46 @@
 	Digest uint64
 	// VMs are the VM itself and those that follow it. They may be omitted if the receiver has them.
 	VMs []fleet.VM
+	// Silences are the times since the VMs reported themselves, in the order of VMs. VMs of an earlier release don't state them;
+	// all of their VMs count as heard of now.
+	Silences []time.Duration
+}
+
+// Position identifies a list and states when it was confirmed.
+type Position struct {
+	Origin  string
+	Version uint64
+	// Confirmed is the time at which the leading VM made the list or confirmed it, or zero if that isn't known.
+	Confirmed time.Time
 }
 
 type report struct {
-	digest   uint64
-	vms      []fleet.VM
+	digest uint64
+	vms    []fleet.VM
+	// heard holds the times at which the VMs reported themselves.
+	heard    []time.Time
 	lastSeen time.Time
 }
 
+// setHeard sets the times at which the VMs reported themselves.
+func (r *report) setHeard(silences []time.Duration, now time.Time) {
+	if len(r.heard) != len(r.vms) {
+		r.heard = make([]time.Time, len(r.vms))
+	}
+	for i := range r.heard {
+		r.heard[i] = now
+		if len(silences) == len(r.vms) {
+			r.heard[i] = now.Add(-silences[i])
+		}
+	}
+}
+
+// sighting is a VM and the time at which it reported itself.
+type sighting struct {
+	vm    fleet.VM
+	heard time.Time
+}
+
 type listed struct {
 	vm      fleet.VM
 	version uint64
@@ -87,8 +136,13 @@
 	removed   []removal
 	compacted uint64
 	changed   chan struct{}
-	// lastExpiry is the time of the last call of Expire.
-	lastExpiry time.Time
+	// confirmed is the time at which the leading VM made the list or confirmed it, and silences are the unusually long silences
+	// by then.
+	confirmed time.Time
+	silences  map[string]time.Duration
+	// lastExpiry is the time of the last call of Expire. No VM expires before settled, so that they can report again after this
+	// process was paused.
+	lastExpiry, settled time.Time
 }
 
 // New returns a table for the VM self with an empty list. The function onList is called with the whole list after each
@@ -120,11 +174,16 @@
 }
 
 // Report returns this VM's report.
-func (t *Table) Report() Report {
+func (t *Table) Report(now time.Time) Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	vms := t.union()
-	return Report{Reporter: t.self.Name, Digest: digest(vms), VMs: vms}
+	r := Report{Reporter: t.self.Name}
+	for _, seen := range t.union(now) {
+		r.VMs = append(r.VMs, seen.vm)
+		r.Silences = append(r.Silences, now.Sub(seen.heard))
+	}
+	r.Digest = digest(r.VMs)
+	return r
 }
 
 // Record records a report, and returns false if the report omits VMs that this table does not have.
@@ -134,33 +193,36 @@
 	old, exists := t.reports[r.Reporter]
 	if exists && old.digest == r.Digest {
 		old.lastSeen = now
+		old.setHeard(r.Silences, now)
 		t.reports[r.Reporter] = old
 		return true
 	}
 	if len(r.VMs) == 0 && r.Digest != digest(nil) {
 		return false
 	}
-	t.reports[r.Reporter] = report{digest: r.Digest, vms: r.VMs, lastSeen: now}
+	added := report{digest: r.Digest, vms: r.VMs, lastSeen: now}
+	added.setHeard(r.Silences, now)
+	t.reports[r.Reporter] = added
 	t.schedule()
 	return true
 }
 
-// Expire drops the reports that were not repeated.
+// Expire drops the VMs that have not reported themselves for too long, and confirms the list if this VM leads.
 func (t *Table) Expire(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	paused := now.Sub(t.lastExpiry) > maxPause
+	if now.Sub(t.lastExpiry) > maxPause {
+		t.settled = now.Add(maxSilence)
+	}
 	t.lastExpiry = now
 	for name, r := range t.reports {
-		switch {
-		case paused:
-			r.lastSeen = now
-			t.reports[name] = r
-		case now.Sub(r.lastSeen) > reportLifetime:
+		if now.Sub(r.lastSeen) > maxInheritedSilence && !now.Before(t.settled) {
 			delete(t.reports, name)
-			t.schedule()
 		}
 	}
+	if t.leads {
+		t.update(now)
+	}
 }
 
 // Lead sets whether this VM's reports make the list. A VM that begins to lead keeps the earlier list until the VMs had time
@@ -176,28 +238,43 @@
 	if !leads {
 		return
 	}
-	var vms []fleet.VM
-	for _, l := range t.list {
-		vms = append(vms, l.vm)
+	// While no VM led, none could report itself to one, so that this time doesn't count.
+	lag := min(now.Sub(t.confirmed), usualLag)
+	r := report{lastSeen: now}
+	for name, l := range t.list {
+		silence, isUnusual := t.silences[name]
+		if !isUnusual {
+			silence = usualSilence
+		}
+		r.vms = append(r.vms, l.vm)
+		r.heard = append(r.heard, now.Add(-silence-lag))
 	}
-	t.reports[inherited] = report{vms: vms, lastSeen: now}
+	t.reports[inherited] = r
 	t.origin, t.compacted = origin, t.version
-	t.update()
+	t.update(now)
 }
 
-// Changes returns the changes after the version of the origin's list, or the whole list if they may be incomplete.
-func (t *Table) Changes(origin string, after uint64) Listing {
+// Changes returns the changes after the position of the same list, or the whole list if they may be incomplete or the position is
+// that of another list. It returns no list to a VM that has a later one.
+func (t *Table) Changes(after Position, now time.Time) Listing {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	l := Listing{Origin: t.origin, Version: t.version, Whole: origin != t.origin || after < t.compacted || after > t.version}
+	if isSame := after.Origin == t.origin && after.Version == t.version; !isSame && !t.isAhead(after) {
+		return Listing{}
+	}
+	l := Listing{
+		Origin: t.origin, Version: t.version,
+		Whole:  after.Origin != t.origin || after.Version < t.compacted || after.Version > t.version,
+		HasAge: !t.confirmed.IsZero(), Age: now.Sub(t.confirmed), Silences: t.silences,
+	}
 	for _, e := range t.list {
-		if l.Whole || e.version > after {
+		if l.Whole || e.version > after.Version {
 			l.VMs = append(l.VMs, e.vm)
 		}
 	}
 	if !l.Whole {
 		for _, r := range t.removed {
-			if r.version > after {
+			if r.version > after.Version {
 				l.Removed = append(l.Removed, r.name)
 			}
 		}
@@ -205,20 +282,53 @@
 	return l
 }
 
-// Position returns the origin and the version of the list.
-func (t *Table) Position() (origin string, version uint64) {
+// Position returns the position of the list.
+func (t *Table) Position() Position {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.origin, t.version
+	return Position{Origin: t.origin, Version: t.version, Confirmed: t.confirmed}
 }
 
-// Apply applies a listing from the VM that is followed. It does nothing while this VM leads.
-func (t *Table) Apply(l Listing) {
+// IsAhead reports whether this table has a later list than a VM with a list at the position.
+func (t *Table) IsAhead(of Position) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.isAhead(of)
+}
+
+// isAhead is IsAhead for a caller that holds mu. Lists of different origins are compared by the times at which they were
+// confirmed.
+func (t *Table) isAhead(of Position) bool {
+	switch {
+	case t.origin == "":
+		return false
+	case of.Confirmed.IsZero() || t.confirmed.IsZero():
+		return of.Origin != t.origin || of.Version != t.version
+	case of.Origin == t.origin:
+		return t.version > of.Version
+	default:
+		return t.confirmed.After(of.Confirmed)
+	}
+}
+
+// Apply applies a listing from the VM that is followed. It does nothing while this VM leads, or if the list is older than that of
+// the table.
+func (t *Table) Apply(l Listing, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.leads || l.Origin == "" || !l.Whole && l.Origin != t.origin {
 		return
 	}
+	confirmed := now
+	if l.HasAge {
+		confirmed = now.Add(-l.Age)
+		if l.Origin == t.origin && l.Version < t.version || l.Origin != t.origin && confirmed.Before(t.confirmed) {
+			return
+		}
+	}
+	if l.Origin != t.origin || l.Version != t.version || confirmed.After(t.confirmed) {
+		t.confirmed, t.silences = confirmed, l.Silences
+	}
 	if l.Origin == t.origin && l.Version == t.version {
 		return
 	}
@@ -256,17 +366,22 @@
 		defer t.mu.Unlock()
 		t.pending = false
 		if t.leads {
-			t.update()
+			t.update(time.Now())
 		}
 	})
 }
 
 // update sets the list to the union of the reports; the caller holds mu and leads.
-func (t *Table) update() {
+func (t *Table) update(now time.Time) {
 	version, changed := t.version+1, false
 	present := make(map[string]bool)
-	for _, vm := range t.union() {
+	t.confirmed, t.silences = now, make(map[string]time.Duration)
+	for _, seen := range t.union(now) {
+		vm := seen.vm
 		present[vm.Name] = true
+		if silence := now.Sub(seen.heard); silence > usualSilence && !now.Before(t.settled) {
+			t.silences[vm.Name] = silence
+		}
 		if t.list[vm.Name].vm != vm {
 			t.list[vm.Name] = listed{vm, version}
 			changed = true
@@ -305,36 +420,50 @@
 	t.onList(vms)
 }
 
-// union returns this VM, unless it leaves, and all reported VMs by name; the caller holds mu. A VM that has moved from one
-// VM to another is reported by both for a while; its latest state counts, or the latest report of two incarnations.
-func (t *Table) union() []fleet.VM {
-	type candidate struct {
-		vm   fleet.VM
-		seen time.Time
-	}
-	latest := make(map[string]candidate)
-	for _, r := range t.reports {
-		for _, vm := range r.vms {
-			c, exists := latest[vm.Name]
-			isLater := r.lastSeen.After(c.seen)
-			if vm.Incarnation == c.vm.Incarnation && vm.Sequence != c.vm.Sequence {
-				isLater = vm.Sequence > c.vm.Sequence
+// union returns this VM, unless it leaves, and all reported VMs that have not expired by name; the caller holds mu. A VM that has
+// moved from one VM to another is reported by both for a while; its latest state counts, or the latest report of two incarnations.
+func (t *Table) union(now time.Time) []sighting {
+	latest := make(map[string]sighting)
+	for reporter, r := range t.reports {
+		for i, vm := range r.vms {
+			seen := sighting{vm, r.heard[i]}
+			if now.Sub(seen.heard) > silenceBound(reporter, vm.Name) && !now.Before(t.settled) {
+				continue
 			}
-			if !exists || isLater {
-				latest[vm.Name] = candidate{vm, r.lastSeen}
+			if other, exists := latest[vm.Name]; exists {
+				seen = later(other, seen)
 			}
+			latest[vm.Name] = seen
 		}
 	}
 	delete(latest, t.self.Name)
-	vms := make([]fleet.VM, 0, len(latest)+1)
-	for _, c := range latest {
-		vms = append(vms, c.vm)
-	}
 	if !t.leaving {
-		vms = append(vms, t.self)
+		latest[t.self.Name] = sighting{t.self, now}
+	}
+	return slices.SortedFunc(maps.Values(latest), func(a, b sighting) int { return strings.Compare(a.vm.Name, b.vm.Name) })
+}
+
+// silenceBound returns the time after which a VM expires that is known by the reporter.
+func silenceBound(reporter, vm string) time.Duration {
+	switch reporter {
+	case vm:
+		return maxSilence
+	case inherited:
+		return maxInheritedSilence
+	default:
+		return maxPassedSilence
+	}
+}
+
+// later returns the later of two states of a VM, with the time of the later report if both are of one incarnation.
+func later(a, b sighting) sighting {
+	if b.heard.After(a.heard) {
+		a, b = b, a
+	}
+	if a.vm.Incarnation == b.vm.Incarnation && b.vm.Sequence > a.vm.Sequence {
+		a.vm = b.vm
 	}
-	slices.SortFunc(vms, func(a, b fleet.VM) int { return strings.Compare(a.Name, b.Name) })
-	return vms
+	return a
 }
 
 // digest returns a hash of the VMs.
--- a/relay/convert.go
+++ b/relay/convert.go
@@ -11,7 +11,7 @@
 func encode(b mirror.Batch, block []byte, fresh, unknown bool, l presence.Listing) *wireBatch {
 	w := &wireBatch{
 		Entries: block, Whole: b.Whole, Era: b.Era, Revision: b.Revision, AgeMS: b.Age.Milliseconds(), Fresh: fresh, Unknown: unknown,
-		List: wireList{Origin: l.Origin, Version: l.Version, Whole: l.Whole, VMs: encodeVMs(l.VMs), Removed: l.Removed},
+		List: encodeList(l),
 	}
 	if !b.OutageEnd.IsZero() {
 		w.OutageMS = max(time.Since(b.OutageEnd).Milliseconds(), 1)
@@ -29,12 +29,67 @@
 	return b, err
 }
 
+func encodeReport(w *wireFollow, r presence.Report, withVMs bool) {
+	w.Reporter, w.Digest = r.Reporter, r.Digest
+	if withVMs {
+		w.VMs = encodeVMs(r.VMs)
+	}
+	for _, s := range r.Silences {
+		w.SilencesMS = append(w.SilencesMS, s.Milliseconds())
+	}
+}
+
 func decodeReport(w *wireFollow) presence.Report {
-	return presence.Report{Reporter: w.Reporter, Digest: w.Digest, VMs: decodeVMs(w.VMs)}
+	r := presence.Report{Reporter: w.Reporter, Digest: w.Digest, VMs: decodeVMs(w.VMs)}
+	for _, ms := range w.SilencesMS {
+		r.Silences = append(r.Silences, decodeAge(ms))
+	}
+	return r
+}
+
+func encodePosition(w *wireFollow, p presence.Position, now time.Time) {
+	w.ListOrigin, w.ListVersion = p.Origin, p.Version
+	if !p.Confirmed.IsZero() {
+		w.ListAgeMS = max(now.Sub(p.Confirmed).Milliseconds(), 1)
+	}
+}
+
+func decodePosition(w *wireFollow, now time.Time) presence.Position {
+	p := presence.Position{Origin: w.ListOrigin, Version: w.ListVersion}
+	if w.ListAgeMS > 0 {
+		p.Confirmed = now.Add(-decodeAge(w.ListAgeMS))
+	}
+	return p
+}
+
+func encodeList(l presence.Listing) wireList {
+	w := wireList{Origin: l.Origin, Version: l.Version, Whole: l.Whole, VMs: encodeVMs(l.VMs), Removed: l.Removed}
+	if !l.HasAge {
+		return w
+	}
+	w.AgeMS, w.SilencesMS = max(l.Age.Milliseconds(), 1), make(map[string]int64, len(l.Silences))
+	for name, s := range l.Silences {
+		w.SilencesMS[name] = s.Milliseconds()
+	}
+	return w
 }
 
 func decodeList(w wireList) presence.Listing {
-	return presence.Listing{Origin: w.Origin, Version: w.Version, Whole: w.Whole, VMs: decodeVMs(w.VMs), Removed: w.Removed}
+	l := presence.Listing{
+		Origin: w.Origin, Version: w.Version, Whole: w.Whole, VMs: decodeVMs(w.VMs), Removed: w.Removed,
+		HasAge: w.AgeMS > 0, Age: decodeAge(w.AgeMS), Silences: make(map[string]time.Duration, len(w.SilencesMS)),
+	}
+	for name, ms := range w.SilencesMS {
+		l.Silences[name] = decodeAge(ms)
+	}
+	return l
+}
+
+// maxStatedAge bounds the ages that other VMs state, so that their sums don't overflow.
+const maxStatedAge = 24 * time.Hour
+
+func decodeAge(ms int64) time.Duration {
+	return time.Duration(min(max(ms, 0), maxStatedAge.Milliseconds())) * time.Millisecond
 }
 
 func encodeVMs(vms []fleet.VM) []wireVM {
--- a/relay/peer.go
+++ b/relay/peer.go
@@ -44,9 +44,13 @@
 	Reporter string   `json:"reporter"`
 	Digest   uint64   `json:"digest"`
 	VMs      []wireVM `json:"vms,omitempty"`
+	// SilencesMS are the times since the VMs reported themselves, also if the VMs are omitted; an earlier release sends none.
+	SilencesMS []int64 `json:"silences-ms,omitempty"`
 	// ListOrigin and ListVersion are the origin and version of the list of VMs that the follower has.
 	ListOrigin  string `json:"list-origin"`
 	ListVersion uint64 `json:"list-version"`
+	// ListAgeMS is the time since that list was confirmed, or 0 if it isn't known.
+	ListAgeMS int64 `json:"list-age-ms,omitempty"`
 }
 
 // wireBatch is the answer to a wireFollow.
@@ -73,6 +77,9 @@
 	Whole   bool     `json:"whole,omitempty"`
 	VMs     []wireVM `json:"vms,omitempty"`
 	Removed []string `json:"removed,omitempty"`
+	// AgeMS is the time since the list was confirmed, or 0 from an earlier release, which states no silences either.
+	AgeMS      int64            `json:"age-ms,omitempty"`
+	SilencesMS map[string]int64 `json:"silences-ms,omitempty"`
 }
 
 type wireVM struct {
@@ -113,11 +120,11 @@
 	return connect.NewUnaryHandler(procedure, func(ctx context.Context, req *connect.Request[wireFollow]) (*connect.Response[wireBatch], error) {
 		ctx, cancel := context.WithTimeout(ctx, min(time.Duration(req.Msg.WaitMS)*time.Millisecond, maxWait))
 		defer cancel()
-		known := vms.Record(decodeReport(req.Msg), time.Now())
+		now := time.Now()
+		known := vms.Record(decodeReport(req.Msg), now)
 		interrupt := vms.Changed()
-		origin, version := vms.Position()
-		hasNewList := origin != "" && (origin != req.Msg.ListOrigin || version != req.Msg.ListVersion)
-		if hasEntries := req.Msg.After > 0; hasEntries && (!known || hasNewList) {
+		position := decodePosition(req.Msg, now)
+		if hasEntries := req.Msg.After > 0; hasEntries && (!known || vms.IsAhead(position)) {
 			// The follower should repeat its report, or get the list, without a wait.
 			cancel()
 		}
@@ -129,7 +136,7 @@
 		if err != nil {
 			return nil, err
 		}
-		list := vms.Changes(req.Msg.ListOrigin, req.Msg.ListVersion)
+		list := vms.Changes(position, time.Now())
 		return connect.NewResponse(encode(b, block, fresh, !known, list)), nil
 	}, connect.WithCodec(codec{}), connect.WithCompression("gzip", nil, nil), connect.WithReadMaxBytes(maxMessage))
 }
@@ -188,18 +195,17 @@
 
 func (p *Peer) follow(ctx context.Context, after mirror.Position, wait time.Duration) (mirror.Batch, error) {
 	c := p.client
-	report := c.vms.Report()
-	req := &wireFollow{After: after.Revision, Era: after.Era, WaitMS: wait.Milliseconds(), Reporter: report.Reporter, Digest: report.Digest}
-	req.ListOrigin, req.ListVersion = c.vms.Position()
-	if !c.hasReported(p.address, report.Digest) {
-		req.VMs = encodeVMs(report.VMs)
-	}
+	now := time.Now()
+	report := c.vms.Report(now)
+	req := &wireFollow{After: after.Revision, Era: after.Era, WaitMS: wait.Milliseconds()}
+	encodeReport(req, report, !c.hasReported(p.address, report.Digest))
+	encodePosition(req, c.vms.Position(), now)
 	resp, err := p.call.CallUnary(ctx, connect.NewRequest(req))
 	if err != nil {
 		return mirror.Batch{}, errors.Wrap(err, "relay")
 	}
 	c.setReported(p.address, report.Digest, !resp.Msg.Unknown)
-	c.vms.Apply(decodeList(resp.Msg.List))
+	c.vms.Apply(decodeList(resp.Msg.List), time.Now())
 	if !resp.Msg.Fresh {
 		return mirror.Batch{}, errors.Wrapf(mirror.ErrStale, "relay: last contact %d ms ago", resp.Msg.AgeMS)
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -277,11 +277,10 @@
 		So(watch(), ShouldBeGreaterThanOrEqualTo, 300*time.Millisecond)
 		server.Lead(true, "new", time.Now())
 		watch()
-		origin, _ := follower.Position()
-		So(origin, ShouldEqual, "new")
+		So(follower.Position().Origin, ShouldEqual, "new")
 		time.Sleep(400 * time.Millisecond)
 		watch()
-		So(follower.Changes("", 0).VMs, ShouldHaveLength, 2)
+		So(follower.Changes(presence.Position{}, time.Now()).VMs, ShouldHaveLength, 2)
 		So(watch(), ShouldBeGreaterThanOrEqualTo, 300*time.Millisecond)
 	})
 }
