Tell requests apart by caller and headers before judging them for crashes

Cause: what identifies a request. The fingerprint had the work, but not who asked for it and how, and any answer to any request with it removed all deaths, which a later reading of all entries of the store added again.

Change: a request has three fingerprints: of the work, with the caller's address, and with the headers that aren't of one attempt. Two deaths speak against the finest one that they share; against a coarser one only if they have different finer ones and are 2 s apart. An answer acquits the fingerprints of its own request of the deaths so far, which stay known. One death after a quarantine begins one that is ten times as long, because a request that is let through each minute crashes two upstreams each minute. The caller's address goes along with a request that is passed to another VM.

Not covered: headers that differ each time, beside harmless requests of the same caller for the same work. The quarantine of fulmarhitch run (package suspect) still knows work only.

--- a/crash/guard_test.go
+++ b/crash/guard_test.go
@@ -20,8 +20,8 @@
 	to *crash.Guard
 }
 
-func (s *peerStore) ReportDeath(_ context.Context, fingerprint, death uint64, _ time.Duration) error {
-	s.to.Learn(quarantine.Entry{Fingerprint: fingerprint, Death: death, At: time.Now()})
+func (s *peerStore) ReportDeath(_ context.Context, fingerprints []uint64, death uint64, _ time.Duration) error {
+	s.to.Learn(fingerprints, death)
 	return nil
 }
 
--- a/detour/detour.go
+++ b/detour/detour.go
@@ -91,6 +91,7 @@
 	if passed.Header == nil {
 		passed.Header = make(http.Header)
 	}
+	passed.Header[header.Caller] = []string{r.Caller}
 	passed.Header[header.RulesVersion] = []string{strconv.FormatUint(version, 10)}
 	res := Result{Result: exchange.Result{Class: exchange.Unsent, Outcome: outcome.NotRun{Reason: outcome.CutOff}}}
 	var tried []string
--- a/detour/dialect.go
+++ b/detour/dialect.go
@@ -64,7 +64,7 @@
 // endToEnd returns the headers that pass a hop, and those between VMs that are set before and read after it.
 func endToEnd(h http.Header) http.Header {
 	out := header.Transparent(h)
-	for _, name := range []string{header.RulesVersion, header.Upstream} {
+	for _, name := range []string{header.RulesVersion, header.Caller, header.Upstream} {
 		if v, ok := h[name]; ok {
 			out[name] = v
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,7 +31,6 @@
 	"github.com/fulmarhitch/fulmarhitch/mirror"
 	"github.com/fulmarhitch/fulmarhitch/notice"
 	"github.com/fulmarhitch/fulmarhitch/presence"
-	"github.com/fulmarhitch/fulmarhitch/quarantine"
 	"github.com/fulmarhitch/fulmarhitch/quota"
 	"github.com/fulmarhitch/fulmarhitch/registration"
 	"github.com/fulmarhitch/fulmarhitch/relay"
@@ -184,8 +183,8 @@
 	g.crashGuard = crash.New(g.config.Store, g.log)
 	g.mirror = mirror.New(mirror.Config{
 		Store: g.config.Store, Decode: g.config.Decode, Sources: g.membership.Sources, Discover: g.membership.Discover,
-		MayReadStore: g.membership.MayReadStore, Relay: g.relay, Roster: g.roster, Fleet: g.fleet, OnChange: g.applyChange, Log: g.log, OnDeath: func(fingerprint, death uint64) {
-			g.crashGuard.Learn(quarantine.Entry{Fingerprint: fingerprint, Death: death, At: time.Now()})
+		MayReadStore: g.membership.MayReadStore, Relay: g.relay, Roster: g.roster, Fleet: g.fleet, OnChange: g.applyChange, Log: g.log, OnDeath: func(fingerprints []uint64, death uint64) {
+			g.crashGuard.Learn(fingerprints, death)
 		},
 	})
 	metrics := telemetry.New(g.metricSources())
--- a/header/header.go
+++ b/header/header.go
@@ -30,6 +30,8 @@
 	Detour = "Fulmarhitch-Detour"
 	// RulesVersion holds the version of the rules by which a VM accepted a request that it passes on.
 	RulesVersion = "Fulmarhitch-Rules-Version"
+	// Caller holds the IP address of the caller of a request that a VM passes on.
+	Caller = "Fulmarhitch-Caller"
 	// Upstream names the upstream whose answer is passed back to the VM that passed the request on.
 	Upstream = "Fulmarhitch-Upstream"
 
@@ -56,7 +58,7 @@
 // Transparent returns the headers of h without the hop-by-hop ones, among them those between VMs.
 func Transparent(h http.Header) http.Header {
 	return filter(h, func(name string) bool {
-		return isHopByHop(name) || name == Detour || name == RulesVersion || name == Upstream || name == Outcome || name == Reason
+		return isHopByHop(name) || name == Detour || name == RulesVersion || name == Caller || name == Upstream || name == Outcome || name == Reason
 	})
 }
 
--- a/ingress/handle.go
+++ b/ingress/handle.go
@@ -133,6 +133,7 @@
 		Request: &request.Request{
 			ID: id, Service: service, Kind: rule.Name, Class: rule.Name, Host: r.Host, Method: r.Method,
 			Path: target, Header: r.Header, Body: body, Deadline: deadline, Idempotent: rule.Idempotent,
+			Caller: callerOf(r, isPassed), AttemptHeaders: s.attemptHeaders,
 		},
 		Rule: rule, HealthPath: set.Services[service].HealthPath, Arrived: arrived,
 		HasLeft:      func() bool { return keepalive.HasLeft(r.Context()) },
--- a/ingress/passed.go
+++ b/ingress/passed.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/netip"
 	"strconv"
 	"time"
 
@@ -56,3 +57,16 @@
 		}
 	}
 }
+
+// callerOf returns the IP address of the caller: the peer of the connection, or the caller that the VM states which passed the request
+// on. A VM of an earlier release states none.
+func callerOf(r *http.Request, isPassed bool) string {
+	if isPassed {
+		return r.Header.Get(header.Caller)
+	}
+	address, err := netip.ParseAddrPort(r.RemoteAddr)
+	if err != nil {
+		return ""
+	}
+	return address.Addr().Unmap().String()
+}
--- a/ingress/passed_test.go
+++ b/ingress/passed_test.go
@@ -9,10 +9,14 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/fulmarhitch/fulmarhitch/detour"
+	exchanger "github.com/fulmarhitch/fulmarhitch/exchange"
+	"github.com/fulmarhitch/fulmarhitch/fleet"
 	"github.com/fulmarhitch/fulmarhitch/forwarder"
 	"github.com/fulmarhitch/fulmarhitch/header"
 	"github.com/fulmarhitch/fulmarhitch/ingress"
 	"github.com/fulmarhitch/fulmarhitch/outcome"
+	"github.com/fulmarhitch/fulmarhitch/request"
 	"github.com/fulmarhitch/fulmarhitch/roster"
 	"github.com/fulmarhitch/fulmarhitch/ruleset"
 )
@@ -84,3 +88,63 @@
 		})
 	}
 }
+
+// keepingForwarder keeps the last request.
+type keepingForwarder struct {
+	last **request.Request
+}
+
+func (f keepingForwarder) Serve(_ context.Context, j forwarder.Job) forwarder.Result {
+	*f.last = j.Request
+	return forwarder.Result{Outcome: outcome.Answered{Status: 200, Header: http.Header{}}}
+}
+
+// TestPassedFingerprints guards against a request that counts as another one after another VM has passed it on, and against a caller that
+// states the address of another one.
+func TestPassedFingerprints(t *testing.T) {
+	Convey("Given a VM that passes a request on to another one", t, func() {
+		set := newRules(time.Second)
+		var first, second *request.Request
+		c := newConfig(keepingForwarder{&first}, func() *ruleset.Set { return set })
+		l := listen(t)
+		s := ingress.New(l, c)
+		So(s.Start(t.Context()), ShouldBeNil)
+		defer func() { _ = s.Stop(t.Context()) }()
+		other := newConfig(keepingForwarder{&second}, c.Rules)
+		other.VM = "other"
+		otherListener := listen(t)
+		o := ingress.New(otherListener, other)
+		So(o.Start(t.Context()), ShouldBeNil)
+		defer func() { _ = o.Stop(t.Context()) }()
+
+		req, err := http.NewRequest(http.MethodGet, "http://"+l.Addr().String()+"/x", nil)
+		So(err, ShouldBeNil)
+		req.Host = "h"
+		req.Header.Set(c.Dialect.RequestID, "r")
+		req.Header.Set("Accept-Language", "sv")
+		req.Header.Set(header.Caller, "10.0.0.9")
+		resp, err := http.DefaultClient.Do(req)
+		So(err, ShouldBeNil)
+		_ = resp.Body.Close()
+		So(first.Caller, ShouldEqual, "127.0.0.1")
+
+		d := detour.New(detour.Config{
+			VM: "vm", VMs: func() []fleet.VM {
+				return []fleet.VM{{Name: "other", Address: otherListener.Addr().String(), Serving: true}}
+			},
+			Bodies: c.Bodies, Log: c.Log,
+			Dialect: exchanger.Dialect{
+				RequestID: c.Dialect.RequestID, Deadline: c.Dialect.Deadline, Expect: "X-Upstream", Verbatim: true,
+				EndToEnd: header.Transparent, Report: func(*http.Response, *exchanger.Result) {},
+				Statement: func(*http.Response) exchanger.Statement { return exchanger.Run{} },
+				IsAltered: func(*http.Response) bool { return false },
+			},
+		})
+		defer d.Close()
+		res := d.DoFor(t.Context(), t.Context(), first, set.Version, 1<<20)
+		So(res.VM, ShouldEqual, "other")
+		So(second, ShouldNotBeNil)
+		So(second.Fingerprints(), ShouldResemble, first.Fingerprints())
+		So(header.Transparent(second.Header), ShouldNotContainKey, header.Caller)
+	})
+}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -35,6 +35,8 @@
 	config   Config
 	listener *keepalive.Listener
 	http     *http.Server
+	// attemptHeaders are the headers that each attempt of a caller has of its own.
+	attemptHeaders []string
 
 	draining, refusing atomic.Bool
 	// end is the time at which the process ends, in ns since start; it is valid while draining.
@@ -51,7 +53,10 @@
 
 // New returns a server that accepts connections from the listener.
 func New(listener net.Listener, c Config) *Server {
-	s := &Server{config: c, listener: keepalive.New(listener), start: time.Now(), stop: make(chan struct{})}
+	s := &Server{
+		config: c, listener: keepalive.New(listener), start: time.Now(), stop: make(chan struct{}),
+		attemptHeaders: []string{http.CanonicalHeaderKey(c.Dialect.RequestID), http.CanonicalHeaderKey(c.Dialect.Deadline)},
+	}
 	s.http = &http.Server{
 		Handler: http.HandlerFunc(s.serve), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout,
 		ConnState: s.listener.ConnState, ConnContext: s.listener.ConnContext,
--- a/mirror/change.go
+++ b/mirror/change.go
@@ -57,7 +57,9 @@
 
 // DeathPut is the death of an upstream while it ran a request.
 type DeathPut struct {
-	Fingerprint, Death uint64
+	// Fingerprints are those of the request, from coarse to fine. An earlier release states only the first.
+	Fingerprints []uint64
+	Death        uint64
 }
 
 // Unreadable is an entry that could not be decoded.
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -79,7 +79,7 @@
 	Roster *roster.Roster
 	Fleet  *fleet.Fleet
 	// OnDeath is called with the deaths of upstreams that other VMs have seen.
-	OnDeath func(fingerprint, death uint64)
+	OnDeath func(fingerprints []uint64, death uint64)
 	// OnChange is called after the view has changed.
 	OnChange func()
 	Log      *logrus.Entry
@@ -463,7 +463,7 @@
 			hasSize = true
 			m.config.Fleet.SetStoredSize(c.VMs)
 		case DeathPut:
-			m.config.OnDeath(c.Fingerprint, c.Death)
+			m.config.OnDeath(c.Fingerprints, c.Death)
 		case Unreadable:
 			m.logUnreadable(c)
 		case UpstreamRemoved, VMRemoved:
@@ -505,7 +505,7 @@
 		case SizePut:
 			m.config.Fleet.SetStoredSize(c.VMs)
 		case DeathPut:
-			m.config.OnDeath(c.Fingerprint, c.Death)
+			m.config.OnDeath(c.Fingerprints, c.Death)
 		case Unreadable:
 			m.logUnreadable(c)
 		}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -13,24 +13,49 @@
 	Clear Level = iota
 	// Suspect is the level of a fingerprint with one death; its requests run alone.
 	Suspect
-	// Quarantined is the level of a fingerprint with two deaths within a minute of each other; its requests are refused.
+	// Quarantined is the level of a fingerprint with two deaths within a minute of each other, or with one after an earlier
+	// quarantine; its requests are refused.
 	Quarantined
 )
 
-// Span is the longest time between two deaths that cause a quarantine, and the duration of suspicion and quarantine.
+// Span is the longest time between two deaths that cause a quarantine, and the duration of suspicion and of the first quarantine.
 const Span = time.Minute
 
+const (
+	// relapseFactor is the factor by which each further quarantine of a fingerprint is longer, up to maxQuarantine.
+	relapseFactor = 10
+	maxQuarantine = 24 * time.Hour
+)
+
+// minGap is the time between two deaths that cause a quarantine of requests that differ in part. Upstreams that die together say
+// nothing of requests that many callers send.
+const minGap = 2 * time.Second
+
 // Entry is the death of an upstream while a request with the fingerprint was in progress on it.
 type Entry struct {
 	Fingerprint, Death uint64
+	// Part is a finer fingerprint of the request, or 0. Deaths with the same part cause no quarantine of Fingerprint: they speak
+	// against the requests of the part only.
+	Part uint64
 	// At is the time of the death.
 	At time.Time
+	// acquitted reports whether a request with the fingerprint was answered afterwards. The entry stays, so that the same death
+	// isn't added again.
+	acquitted bool
 }
 
-// Table holds the latest two distinct deaths of each of at most limit fingerprints. It isn't safe for concurrent use.
+// Table holds the latest two distinct deaths of each of at most limit fingerprints, and the last quarantines of as many. It isn't
+// safe for concurrent use.
 type Table struct {
-	limit  int
-	deaths map[uint64]deaths
+	limit       int
+	deaths      map[uint64]deaths
+	quarantines map[uint64]term
+}
+
+// term is the last quarantine of a fingerprint that was not answered since.
+type term struct {
+	duration time.Duration
+	end      time.Time
 }
 
 // deaths are the latest two distinct deaths, oldest first; the zero Entry stands for none.
@@ -38,32 +63,75 @@
 
 // New returns an empty table for at most limit fingerprints.
 func New(limit int) *Table {
-	return &Table{limit: limit, deaths: make(map[uint64]deaths)}
+	return &Table{limit: limit, deaths: make(map[uint64]deaths), quarantines: make(map[uint64]term)}
 }
 
-// Add records a death at the time at and reports whether it was added. A time after now counts as now. A death is not
-// added if it is already recorded or expired, or if the table is full of quarantined fingerprints.
-func (t *Table) Add(fingerprint, death uint64, at, now time.Time) (added bool) {
-	if at.After(now) {
-		at = now
+// Add records a death and reports whether it was added. A time after now counts as now. A death is not added if it is
+// already recorded or expired, or if the table is full of quarantined fingerprints.
+func (t *Table) Add(e Entry, now time.Time) (added bool) {
+	if e.At.After(now) {
+		e.At = now
 	}
-	e := Entry{Fingerprint: fingerprint, Death: death, At: at}
-	if now.Sub(at) >= 2*Span {
+	if now.Sub(e.At) >= 2*Span {
 		return false
 	}
-	d, known := t.deaths[fingerprint]
+	d, known := t.deaths[e.Fingerprint]
 	if !known && !t.makeRoom(now) {
 		return false
 	}
 	d, added = d.add(e)
 	if added {
-		t.deaths[fingerprint] = d
+		t.deaths[e.Fingerprint] = d
+		t.sentence(e, d)
 	}
 	return added
 }
 
+// sentence begins or extends the quarantine of the fingerprint after a death that was added.
+func (t *Table) sentence(e Entry, d deaths) {
+	last, isKnown := t.quarantines[e.Fingerprint]
+	switch {
+	case isKnown && e.At.Before(last.end):
+		last.end = later(last.end, e.At.Add(last.duration))
+	case isKnown:
+		last.duration = min(last.duration*relapseFactor, maxQuarantine)
+		last.end = e.At.Add(last.duration)
+	case d.areRelated():
+		last = term{Span, d[1].At.Add(Span)}
+		t.limitQuarantines()
+	default:
+		return
+	}
+	t.quarantines[e.Fingerprint] = last
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// limitQuarantines makes room for one more quarantine. If there are too many, the one that ends first is forgotten.
+func (t *Table) limitQuarantines() {
+	if len(t.quarantines) < t.limit {
+		return
+	}
+	var first uint64
+	var end time.Time
+	for f, q := range t.quarantines {
+		if end.IsZero() || q.end.Before(end) {
+			first, end = f, q.end
+		}
+	}
+	delete(t.quarantines, first)
+}
+
 // Level returns the level of the fingerprint at the time now.
 func (t *Table) Level(fingerprint uint64, now time.Time) Level {
+	if now.Before(t.quarantines[fingerprint].end) {
+		return Quarantined
+	}
 	return t.deaths[fingerprint].level(now)
 }
 
@@ -77,7 +145,7 @@
 			continue
 		}
 		for _, e := range d {
-			if !e.At.IsZero() && now.Sub(e.At) < 2*Span {
+			if !e.At.IsZero() && !e.acquitted && now.Sub(e.At) < 2*Span {
 				all = append(all, e)
 			}
 		}
@@ -96,7 +164,7 @@
 	for f, d := range t.deaths {
 		if d.expired(now) {
 			delete(t.deaths, f)
-		} else if d.level(now) != Quarantined && (at.IsZero() || d[1].At.Before(at)) {
+		} else if t.Level(f, now) != Quarantined && (at.IsZero() || d[1].At.Before(at)) {
 			oldest, at = f, d[1].At
 		}
 	}
@@ -112,6 +180,20 @@
 	if !d[1].At.IsZero() && d[1].Death == e.Death || !d[0].At.IsZero() && d[0].Death == e.Death {
 		return d, false
 	}
+	for i, other := range d {
+		if e.Part == 0 || other.At.IsZero() || other.Part != e.Part {
+			continue
+		}
+		// The later death of the part stands for it.
+		if before(e, other) {
+			return d, false
+		}
+		rest := d[1-i]
+		if rest.At.IsZero() || before(rest, e) {
+			return deaths{rest, e}, true
+		}
+		return deaths{e, rest}, true
+	}
 	switch {
 	case !before(e, d[1]):
 		return deaths{d[1], e}, true
@@ -126,26 +208,42 @@
 	return a.At.Before(b.At) || a.At.Equal(b.At) && a.Death < b.Death
 }
 
-// level returns the level that follows from the latest two deaths. Earlier deaths can be ignored: the quarantine caused
-// by an earlier pair ends no later than the suspicion caused by the latest death, unless the latest death is part of a
-// pair itself.
+// level returns the level that follows from the latest two deaths without an earlier quarantine. Earlier deaths can be
+// ignored: the quarantine caused by an earlier pair ends no later than the suspicion caused by the latest death, unless the
+// latest death is part of a pair itself.
 func (d deaths) level(now time.Time) Level {
 	switch {
-	case d.expired(now):
+	case d.expired(now) || d[1].acquitted && (d[0].At.IsZero() || d[0].acquitted):
 		return Clear
-	case !d[0].At.IsZero() && d[1].At.Sub(d[0].At) <= Span:
+	case d.areRelated():
 		return Quarantined
 	default:
 		return Suspect
 	}
 }
 
+// areRelated reports whether there are two deaths that cause a quarantine together.
+func (d deaths) areRelated() bool {
+	if d[0].At.IsZero() || d[0].acquitted || d[1].acquitted {
+		return false
+	}
+	gap := d[1].At.Sub(d[0].At)
+	haveParts := d[0].Part != 0 && d[1].Part != 0
+	return gap <= Span && (!haveParts || gap >= minGap)
+}
+
 func (d deaths) expired(now time.Time) bool {
 	return d[1].At.IsZero() || now.Sub(d[1].At) >= Span
 }
 
-// Remove removes the fingerprint. It is called when an upstream has answered the request, which shows that the request
-// does not crash the upstreams that run it.
-func (t *Table) Remove(fingerprint uint64) {
-	delete(t.deaths, fingerprint)
+// Acquit clears the fingerprint of the deaths so far. It is called when an upstream has answered the request, which shows that
+// the request does not crash the upstreams that run it.
+func (t *Table) Acquit(fingerprint uint64) {
+	delete(t.quarantines, fingerprint)
+	d, known := t.deaths[fingerprint]
+	if !known {
+		return
+	}
+	d[0].acquitted, d[1].acquitted = true, true
+	t.deaths[fingerprint] = d
 }
--- a/request/request.go
+++ b/request/request.go
@@ -1,10 +1,15 @@
 package request
 
 import (
+	"encoding/binary"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/fulmarhitch/fulmarhitch/header"
 )
 
 // MaxDepth is the maximum depth of nested calls that is served.
@@ -26,6 +31,10 @@
 	Method, Path string
 	Header       http.Header
 	Body         []byte
+	// Caller is the IP address of the caller, or empty if it isn't known.
+	Caller string
+	// AttemptHeaders are the canonical names of the headers that each attempt of a caller has of its own.
+	AttemptHeaders []string
 	// Deadline is the time at which the caller stops waiting.
 	Deadline time.Time
 	// Depth counts the calls that led to this one.
@@ -54,3 +63,39 @@
 	_, _ = hash.Write(r.Body)
 	return hash.Sum64()
 }
+
+// Fingerprints returns hashes of the request from coarse to fine: Fingerprint, that with the caller, and that with the caller and
+// the headers. A request without a known caller has only the first.
+func (r *Request) Fingerprints() []uint64 {
+	work := r.Fingerprint()
+	if r.Caller == "" {
+		return []uint64{work}
+	}
+	hash := xxhash.New()
+	_, _ = hash.Write(binary.BigEndian.AppendUint64(nil, work))
+	_, _ = hash.WriteString(r.Caller)
+	byCaller := hash.Sum64()
+	stable := header.Transparent(r.Header)
+	for _, name := range slices.Sorted(maps.Keys(stable)) {
+		if r.isOfAttempt(name) {
+			continue
+		}
+		for _, value := range stable[name] {
+			_, _ = hash.Write([]byte{0})
+			_, _ = hash.WriteString(name)
+			_, _ = hash.Write([]byte{0})
+			_, _ = hash.WriteString(value)
+		}
+	}
+	return []uint64{work, byCaller, hash.Sum64()}
+}
+
+// isOfAttempt reports whether attempts of the same request may differ in the header.
+func (r *Request) isOfAttempt(name string) bool {
+	switch name {
+	case "Content-Length", "Date", "Traceparent", "Tracestate":
+		return true
+	default:
+		return slices.Contains(r.AttemptHeaders, name)
+	}
+}
--- a/suspect/tracker.go
+++ b/suspect/tracker.go
@@ -58,7 +58,7 @@
 func (t *Tracker) RecordDeath(fingerprint uint64, service, upstream string, now time.Time) {
 	t.mu.Lock()
 	id := t.deathID(upstreamKey{service, upstream}, now)
-	added := t.table.Add(fingerprint, id, now, now)
+	added := t.table.Add(quarantine.Entry{Fingerprint: fingerprint, Death: id, At: now}, now)
 	t.used.Store(true)
 	t.mu.Unlock()
 	if added {
@@ -85,7 +85,8 @@
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.table.Add(e.GetFingerprint(), e.GetDeath(), now.Add(-time.Duration(e.GetAgeMs())*time.Millisecond), now)
+	at := now.Add(-time.Duration(e.GetAgeMs()) * time.Millisecond)
+	t.table.Add(quarantine.Entry{Fingerprint: e.GetFingerprint(), Death: e.GetDeath(), At: at}, now)
 	t.used.Store(true)
 }
 
@@ -95,6 +96,6 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.table.Level(fingerprint, now) == quarantine.Suspect {
-		t.table.Remove(fingerprint)
+		t.table.Acquit(fingerprint)
 	}
 }
