Name no VMs that end while the store answers nobody

Cause: both sources of names were frozen. Registrations can't end in the eyes of VMs that don't reach the store, and who leads the list of VMs follows from registrations, so that nobody led it once the watcher had left. Relays that paused their calls of the store didn't report to anyone meanwhile either.

Change: a registration speaks for a VM only while the last contact with the store is younger than leases last; callers are named the VMs that the VMs list themselves. If nobody confirms that list then, the standby leads it after 2.5 s, and each relay behind it 1.5 s later than the one before. Relays follow each other in the pauses between their calls of a lost store. Limits are divided among all VMs as before.

In a large fleet, VMs that aren't relays know four relays. If all four end in an outage of the store, such VMs report to nobody until it is over, and are not named.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -37,8 +37,12 @@
 	// registered holds the VMs that are registered in the store, and present those that are listed by the VMs themselves.
 	registered *grace.Set[VM]
 	present    map[string]VM
-	// list and the two fields after it follow from the others. list is nil after a change, until it is used.
+	// isStale reports whether registrations may have ended without this VM's knowledge.
+	isStale bool
+	// list and the fields after it follow from the others. list is nil after a change, until it is used.
 	list []VM
+	// confirmed holds the VMs of list but those that only a registration which may have ended speaks for.
+	confirmed []VM
 	// sharers and localSharers are the numbers of VMs that share the limits of the fleet, and of those of them in this VM's
 	// failure domain.
 	sharers, localSharers int
@@ -91,6 +95,17 @@
 	f.list = nil
 }
 
+// SetStale records whether registrations may have ended without this VM's knowledge, because the last contact with the store is older
+// than their leases.
+func (f *Fleet) SetStale(isStale bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.isStale != isStale {
+		f.isStale = isStale
+		f.list = nil
+	}
+}
+
 // SetStoredSize records the size of the fleet that the store states.
 func (f *Fleet) SetStoredSize(n int) {
 	f.mu.Lock()
@@ -210,6 +225,15 @@
 	return f.list
 }
 
+// Confirmed is like List without the VMs that the VMs don't list themselves and whose registration may have ended. Before the VMs
+// have listed themselves, it is the same as List.
+func (f *Fleet) Confirmed() []VM {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rebuild()
+	return f.confirmed
+}
+
 // Settled is like List, but returns no VMs while many may be missing: before the VMs have listed themselves, and until the list has
 // half of the size that the store states.
 func (f *Fleet) Settled() []VM {
@@ -245,11 +269,15 @@
 	}
 	vms := make(map[string]VM, len(f.present)+1)
 	var relays []VM
+	isUnconfirmed := make(map[string]bool)
 	for name, vm := range f.registered.All {
 		// A VM registers itself when it serves callers or is about to.
 		vm.Serving = true
 		vms[name] = vm
 		relays = append(relays, vm)
+		_, _, isRegistered := f.registered.Get(name)
+		_, isPresent := f.present[name]
+		isUnconfirmed[name] = (f.isStale || !isRegistered) && !isPresent && len(f.present) > 0
 	}
 	for name, vm := range f.present {
 		vms[name] = vm
@@ -260,10 +288,13 @@
 		self.Serving, self.CutOff = f.serving, f.cutOff
 		vms[self.Name] = self
 	}
-	list := make([]VM, 0, len(vms))
+	list, confirmed := make([]VM, 0, len(vms)), make([]VM, 0, len(vms))
 	f.sharers, f.localSharers = 0, 0
 	for _, vm := range vms {
 		list = append(list, vm)
+		if vm.Name == f.self.Name || !isUnconfirmed[vm.Name] {
+			confirmed = append(confirmed, vm)
+		}
 		if vm.CutOff && !f.cutOff {
 			continue
 		}
@@ -272,6 +303,8 @@
 			f.localSharers++
 		}
 	}
-	slices.SortFunc(list, func(a, b VM) int { return strings.Compare(a.Name, b.Name) })
-	f.list, f.relays = list, relays
+	byName := func(a, b VM) int { return strings.Compare(a.Name, b.Name) }
+	slices.SortFunc(list, byName)
+	slices.SortFunc(confirmed, byName)
+	f.list, f.confirmed, f.relays = list, confirmed, relays
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -1,7 +1,9 @@
 package fleet_test
 
 import (
+	"slices"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -49,3 +51,39 @@
 		So(local, ShouldEqual, 2)
 	})
 }
+
+// TestConfirmed guards against VMs that are still named although only a registration speaks for them that may have ended, and against
+// VMs that are not named because the VMs haven't listed themselves yet.
+func TestConfirmed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tests := map[string]struct {
+		change func(f *fleet.Fleet)
+		want   []string
+	}{
+		"the store answers":           {func(*fleet.Fleet) {}, []string{"other", "registered", "self"}},
+		"the store doesn't answer":    {func(f *fleet.Fleet) { f.SetStale(true) }, []string{"other", "self"}},
+		"the store answers again":     {func(f *fleet.Fleet) { f.SetStale(true); f.SetStale(false) }, []string{"other", "registered", "self"}},
+		"no list of the VMs yet":      {func(f *fleet.Fleet) { f.SetStale(true); f.SetPresent(nil) }, []string{"other", "registered", "self"}},
+		"registration ended in grace": {func(f *fleet.Fleet) { f.BeginGrace(now); f.Remove("registered", now) }, []string{"other", "self"}},
+		"listed VM, ended in grace":   {func(f *fleet.Fleet) { f.BeginGrace(now); f.Remove("other", now) }, []string{"other", "registered", "self"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := fleet.New(fleet.VM{Name: "self"})
+			f.Put(fleet.VM{Name: "registered"})
+			f.Put(fleet.VM{Name: "other"})
+			f.SetPresent([]fleet.VM{{Name: "self"}, {Name: "other"}})
+			test.change(f)
+			var got []string
+			for _, vm := range f.Confirmed() {
+				got = append(got, vm.Name)
+			}
+			if !slices.Equal(got, test.want) {
+				t.Errorf("%v, want %v", got, test.want)
+			}
+			if n, _ := f.Sharers(); n != 3 {
+				t.Errorf("%d VMs share the limits, want 3", n)
+			}
+		})
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -135,8 +135,9 @@
 	g.peerClient = relay.NewClient(g.vms)
 	g.membership = membership.New(membership.Config{
 		Store: c.Store, Decode: c.Decode, Fleet: g.fleet, Table: g.vms, IsReady: g.isReady, IsCutOff: g.isCutOff, Log: g.log,
-		Seeds:  s.Seeds,
-		Follow: func(vm fleet.VM) mirror.Source { return relay.NewPeer(g.peerClient, vm.PeerAddress) },
+		StoreAge: func() time.Duration { return g.mirror.Age() },
+		Seeds:    s.Seeds,
+		Follow:   func(vm fleet.VM) mirror.Source { return relay.NewPeer(g.peerClient, vm.PeerAddress) },
 	})
 	g.directoryAddress, g.readyAddress = l.directory.Addr().String(), l.ready.Addr().String()
 	g.registerServices(l)
@@ -275,7 +276,7 @@
 	if g.mirror.Rules() == nil {
 		return directory.Answer{}, false
 	}
-	a := directory.New(g.fleet.List(), failureDomain, caller, g.settings.Load().AddressLifetime)
+	a := directory.New(g.fleet.Confirmed(), failureDomain, caller, g.settings.Load().AddressLifetime)
 	return a, len(a.Addresses) > 0
 }
 
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -30,6 +30,12 @@
 	sizeTimeout = 500 * time.Millisecond
 	// remoteDelay is the time after the start in which a VM waits for a relay of its own failure domain.
 	remoteDelay = 2500 * time.Millisecond
+	// registrationLifetime is the age of the last contact with the store from which on registrations may have ended.
+	registrationLifetime = 4 * time.Second
+	// standInDelay is the time without a confirmed list after which the standby leads it while the store can't tell whether the
+	// watcher has ended, and standInStep the time by which each VM after it waits longer.
+	standInDelay = 2500 * time.Millisecond
+	standInStep  = 1500 * time.Millisecond
 	// standbyDelay is the time that the standby of a starting fleet leaves the first relay to read the store.
 	standbyDelay = 400 * time.Millisecond
 )
@@ -52,6 +58,8 @@
 	Table *presence.Table
 	// IsReady reports whether this VM serves callers, and IsCutOff whether it reaches no upstream.
 	IsReady, IsCutOff func() bool
+	// StoreAge returns the time since the last contact with the store, also by way of other VMs.
+	StoreAge func() time.Duration
 	// Seeds are addresses of VMs for other VMs, which may be known without the store. They may have ended.
 	Seeds []string
 	// Follow returns the VM as a source of entries.
@@ -209,10 +217,19 @@
 	ready, cutOff := m.config.IsReady(), m.config.IsCutOff()
 	m.config.Fleet.SetState(ready, cutOff)
 	m.config.Table.SetState(ready, cutOff)
-	m.config.Table.Lead(m.place().Tier == topology.Watcher, rand.Text(), now)
+	isStale := m.config.StoreAge() > registrationLifetime
+	m.config.Fleet.SetStale(isStale)
+	place := m.place()
+	m.config.Table.Lead(place.Tier == topology.Watcher || isStale && m.standsIn(place, now), rand.Text(), now)
 	m.config.Table.Expire(now)
 }
 
+// standsIn reports whether this VM leads the list in place of those before it, because none of them has confirmed it for long enough.
+func (m *Membership) standsIn(p topology.Place, now time.Time) bool {
+	delay := standInDelay + time.Duration(p.Rank-1)*standInStep
+	return p.Rank > 0 && now.Sub(m.config.Table.ConfirmedByOther()) > delay
+}
+
 // hasChanged reports whether the size of the fleet has changed by more than sizeChange.
 func hasChanged(before, now int) bool {
 	return float64(max(now-before, before-now)) > sizeChange*float64(before)
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -1,10 +1,13 @@
 package membership_test
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -498,8 +501,9 @@
 	isReady := func() bool { return x.mirror.Rules() != nil && x.roster.Len() > 0 }
 	x.membership = membership.New(membership.Config{
 		Store: a, Decode: decode, Fleet: x.fleet, Table: x.table, IsReady: isReady, IsCutOff: func() bool { return false }, Log: log,
-		Seeds:  n.seeds,
-		Follow: func(vm fleet.VM) mirror.Source { return link{n, x, vm.Name} },
+		StoreAge: func() time.Duration { return x.mirror.Age() },
+		Seeds:    n.seeds,
+		Follow:   func(vm fleet.VM) mirror.Source { return link{n, x, vm.Name} },
 	})
 	x.mirror = mirror.New(mirror.Config{
 		Store: a, Decode: decode, Sources: x.membership.Sources, Discover: x.membership.Discover,
@@ -1053,3 +1057,76 @@
 		})
 	}
 }
+
+// TestGoneDuringOutage guards against VMs that have ended while the store answers nobody and are still named, because the VM that led
+// the list is one of them or because registrations that nobody can end still count; and against live VMs that are no longer named.
+func TestGoneDuringOutage(t *testing.T) {
+	const (
+		// bound is the time after which a VM that has ended must not be named.
+		bound    = 12 * time.Second
+		interval = 1300 * time.Millisecond
+	)
+	for name, c := range map[string]struct{ vms, fast, ended int }{
+		"14 VMs": {14, 3, 6}, "111 VMs": {111, 2, 20},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				s, n := newStore(), &network{nodes: make(map[string]*node)}
+				go s.runStale(ctx)
+				for i := range numUpstreams {
+					s.put(fmt.Sprintf("up-%04d", i), nil)
+				}
+				nodes := n.startAll(t, s, fleetOf(c.vms, c.fast), 1)
+				time.Sleep(15 * time.Second)
+				// The watcher and its standby end first, and then others that nobody follows.
+				slices.SortStableFunc(nodes, func(a, b *node) int {
+					return cmp.Compare(min(len(a.membership.Sources().Peers), 2), min(len(b.membership.Sources().Peers), 2))
+				})
+				ended, live := slices.Clone(nodes[:2]), nodes[2:]
+				sources := make(map[string]bool)
+				for _, x := range live {
+					for _, p := range x.membership.Sources().Peers {
+						sources[p.Name] = true
+					}
+				}
+				for _, x := range live {
+					if len(ended) < c.ended && !sources[x.vm.Name] {
+						ended = append(ended, x)
+					}
+				}
+				live = slices.DeleteFunc(slices.Clone(live), func(x *node) bool { return slices.Contains(ended, x) })
+				check := func(when string) {
+					want := make(map[string]bool)
+					for _, x := range live {
+						want[x.vm.Name] = true
+					}
+					for _, x := range live {
+						got := make(map[string]bool)
+						for _, vm := range x.fleet.Confirmed() {
+							got[vm.Name] = true
+						}
+						if !maps.Equal(got, want) {
+							t.Errorf("%s: %s names %d VMs, want %d", when, x.vm.Name, len(got), len(want))
+						}
+					}
+				}
+				s.setDown(true)
+				time.Sleep(5 * time.Second)
+				for _, x := range ended {
+					n.kill(s, x)
+					time.Sleep(interval)
+				}
+				time.Sleep(bound - interval)
+				check("during the outage")
+				s.setDown(false)
+				time.Sleep(bound)
+				check("after the outage")
+				n.kill(s, live...)
+				cancel()
+				time.Sleep(10 * time.Second)
+			})
+		})
+	}
+}
--- a/mirror/step.go
+++ b/mirror/step.go
@@ -60,7 +60,7 @@
 	sources, now := m.config.Sources(), time.Now()
 	peers, isFollower := sources.Peers, sources.Tier >= topology.Direct
 	if storeOnly || len(peers) == 0 {
-		if s, ok := m.fallbackStep(sources.Fallback, now); ok && !storeOnly {
+		if s, ok := m.fallbackStep(sources.Fallback, fallbackStorePause, now); ok && !storeOnly {
 			return s
 		}
 		return m.storeStep(watchBroken)
@@ -84,7 +84,12 @@
 		}
 	}
 	if s.peer == nil {
-		if s, ok := m.fallbackStep(sources.Fallback, now); ok {
+		// A VM that pauses its calls of a lost store still has to report itself to those that have lost it too.
+		pause := fallbackStorePause
+		if m.storeLost {
+			pause = max(pause, storePause)
+		}
+		if s, ok := m.fallbackStep(sources.Fallback, pause, now); ok {
 			return s
 		}
 	}
@@ -117,10 +122,10 @@
 	return age + time.Duration(m.jitter*float64(age))
 }
 
-// fallbackStep returns the step that follows a VM in place of a store that fails, between the calls that find out whether the
-// store still does: it may turn only some VMs away.
-func (m *Mirror) fallbackStep(peers []Peer, now time.Time) (s step, ok bool) {
-	if !m.storeFails || now.Sub(m.lastStoreCall) >= fallbackStorePause {
+// fallbackStep returns the step that follows a VM in place of a store that fails, between the calls at intervals of storePause that
+// find out whether the store still does: it may turn only some VMs away.
+func (m *Mirror) fallbackStep(peers []Peer, storePause time.Duration, now time.Time) (s step, ok bool) {
+	if !m.storeFails || now.Sub(m.lastStoreCall) >= storePause {
 		return step{}, false
 	}
 	for i, p := range peers {
--- a/presence/table.go
+++ b/presence/table.go
@@ -140,6 +140,8 @@
 	// by then.
 	confirmed time.Time
 	silences  map[string]time.Duration
+	// confirmedByOther is the latest time at which another VM made or confirmed a list that this VM has got.
+	confirmedByOther time.Time
 	// lastExpiry is the time of the last call of Expire. No VM expires before settled, so that they can report again after this
 	// process was paused.
 	lastExpiry, settled time.Time
@@ -289,6 +291,13 @@
 	return Position{Origin: t.origin, Version: t.version, Confirmed: t.confirmed}
 }
 
+// ConfirmedByOther returns the latest time at which another VM made or confirmed a list that this VM has got, or zero.
+func (t *Table) ConfirmedByOther() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.confirmedByOther
+}
+
 // IsAhead reports whether this table has a later list than a VM with a list at the position.
 func (t *Table) IsAhead(of Position) bool {
 	t.mu.Lock()
@@ -316,12 +325,14 @@
 func (t *Table) Apply(l Listing, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	confirmed := now.Add(-l.Age)
+	if l.Origin != "" && (!t.leads || l.Origin != t.origin) && confirmed.After(t.confirmedByOther) {
+		t.confirmedByOther = confirmed
+	}
 	if t.leads || l.Origin == "" || !l.Whole && l.Origin != t.origin {
 		return
 	}
-	confirmed := now
 	if l.HasAge {
-		confirmed = now.Add(-l.Age)
 		if l.Origin == t.origin && l.Version < t.version || l.Origin != t.origin && confirmed.Before(t.confirmed) {
 			return
 		}
--- a/topology/place.go
+++ b/topology/place.go
@@ -49,6 +49,8 @@
 type Place struct {
 	// Tier is the distance from the store.
 	Tier Tier
+	// Rank is the position of the VM in the order of the relays, or -1 if it isn't one.
+	Rank int
 	// Sources are the VMs to follow, the preferred one first; a watcher has none.
 	Sources []fleet.VM
 	// Fallback are the VMs to follow if neither the sources nor the store can be reached.
@@ -66,14 +68,14 @@
 	rank := slices.IndexFunc(order, func(vm fleet.VM) bool { return vm.Name == self.Name })
 	switch {
 	case rank == 0 || len(order) == 0:
-		return Place{Tier: Watcher, Fallback: fallback(order, rank)}
+		return Place{Tier: Watcher, Rank: rank, Fallback: fallback(order, rank)}
 	case rank == 1:
-		return Place{Tier: Standby, Sources: order[:1], Fallback: fallback(order, rank)}
+		return Place{Tier: Standby, Rank: rank, Sources: order[:1], Fallback: fallback(order, rank)}
 	case rank > 1:
-		return Place{Tier: Relay, Sources: order[:2], Fallback: fallback(order, rank)}
+		return Place{Tier: Relay, Rank: rank, Sources: order[:2], Fallback: fallback(order, rank)}
 	case vms > 0 && vms <= maxDirectFollowers:
 		// If the first two fail, the next relays call the store, and the others follow these.
-		return Place{Tier: Direct, Sources: order[:min(len(order), 2+alternatives)]}
+		return Place{Tier: Direct, Rank: rank, Sources: order[:min(len(order), 2+alternatives)]}
 	}
 	// The watcher already has the relays as followers.
 	var near []fleet.VM
@@ -97,7 +99,7 @@
 			sources = append(sources, vm)
 		}
 	}
-	return Place{Tier: Indirect, Sources: sources, LacksRelay: lacksRelay}
+	return Place{Tier: Indirect, Rank: rank, Sources: sources, LacksRelay: lacksRelay}
 }
 
 // fallback returns the relays that follow the rank in the order, and then those before it, without the watcher and its
