Don't spill a request whose first attempt may have run

An idempotent request could run three times: once at its home, where its answer was lost, and, if the retry found no free slot there, twice more at the home of another group, which didn't know of the first attempt. It is meant to be repeated once at most.

The retry of an attempt that may have run now stays at its home. TestSpillAfterLost failed before.

--- a/route/attempt.go
+++ b/route/attempt.go
@@ -177,6 +177,8 @@
 			a.lostReason = o.Reason
 		}
 		a.retry(name)
+		// The home of another group doesn't know of this attempt and might run the request twice more.
+		a.ticket.NoSpill = true
 		return nil
 	}
 	return res.Outcome
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -35,9 +37,14 @@
 	results []exchange.Result
 	calls   int
 	delay   time.Duration
+	// do replaces the results if it is set.
+	do func(r *request.Request) exchange.Result
 }
 
-func (u *upstreams) Do(context.Context, *request.Request, declaration.Upstream, int) exchange.Result {
+func (u *upstreams) Do(_ context.Context, r *request.Request, _ declaration.Upstream, _ int) exchange.Result {
+	if u.do != nil {
+		return u.do(r)
+	}
 	time.Sleep(u.delay)
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -54,10 +61,11 @@
 	out   outcome.Outcome
 	err   error
 	calls []peerpb.RunRequest_Mode
+	ids   []string
 }
 
 func (p *peers) Run(_ context.Context, _ string, m *peerpb.RunRequest) (*peerpb.RunResponse, error) {
-	p.calls = append(p.calls, m.GetMode())
+	p.calls, p.ids = append(p.calls, m.GetMode()), append(p.ids, m.GetRequestId())
 	if p.err != nil {
 		return nil, p.err
 	}
@@ -377,3 +385,53 @@
 		})
 	}
 }
+
+// TestSpillAfterLost guards against an idempotent request that runs three times: once here, where its answer is lost, and twice at the
+// home of another group, which doesn't know of the first attempt.
+func TestSpillAfterLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := declared()
+		d.FailureDomains = append(d.FailureDomains, declaration.FailureDomain{Name: "b", Region: "r"})
+		d.Services[0].Upstreams = append(d.Services[0].Upstreams,
+			declaration.Upstream{Name: "u3", Address: "127.0.0.1:13", FailureDomain: "b", Slots: 2},
+			declaration.Upstream{Name: "u4", Address: "127.0.0.1:14", FailureDomain: "b", Slots: 2})
+		remote := other
+		remote.FailureDomain = "b"
+		f := newFixture([]member.Member{self, remote}, lost)
+		defer f.stop()
+		p := plan.New(d, []member.Member{self, remote}, self)
+		f.groups.Apply(p, time.Now())
+		f.router.SetPlan(p)
+		f.fillRetryBudget()
+		f.peers.out = outcome.Answered{Status: 200}
+		groups := p.Service("s").Groups
+		runs := 0
+		f.upstreams.do = func(r *request.Request) exchange.Result {
+			if r.ID != "lost" {
+				time.Sleep(300 * time.Millisecond)
+				return answered
+			}
+			runs++
+			time.Sleep(100 * time.Millisecond)
+			time.AfterFunc(50*time.Millisecond, func() { f.groups.Get(groups[0]).Report(groups[1].ID, 20, 0, time.Now()) })
+			return lost
+		}
+		// Others wait for the slot that the lost attempt leaves, so that the retry has to wait too.
+		var all sync.WaitGroup
+		for i := range 12 {
+			req := newRequest("get", key.Key{})
+			if req.ID = "lost"; i > 0 {
+				req.ID = fmt.Sprint(i)
+			}
+			all.Go(func() { f.router.Run(t.Context(), req) })
+			time.Sleep(time.Millisecond)
+		}
+		all.Wait()
+		if len(f.peers.ids) == 0 {
+			t.Error("nothing was sent to the other home")
+		}
+		if slices.Contains(f.peers.ids, "lost") {
+			t.Errorf("sent to the home of another group after %d attempts here", runs)
+		}
+	})
+}
