Bound the memory and time that callers take who don't read their answers

Callers that asked for large answers and didn't read them held these for ever. They count as memory for bodies, but weren't cut off: three answers of 16 MiB used up a budget of 24 MiB, and every other body at the VM was cut off from then on. Stopped or broken callers are enough for that.

Cause: an answer counted as complete once the VM had read it, and writes had no time limit.

Change: an answer of 64 KiB or more that its caller hasn't read after 1 s may be cut off like an unfinished one, the largest first. Independently, a write fails if the caller takes no 64 KiB in 10 s.

--- a/buffer/budget.go
+++ b/buffer/budget.go
@@ -20,7 +20,7 @@
 	mu        sync.Mutex
 	used      int64
 	evictions uint64
-	// growing holds the unfinished bodies.
+	// growing holds the bodies that may be cut off: the unfinished ones and those that are exposed.
 	growing map[*Hold]struct{}
 	// changed is closed and replaced when bytes are released.
 	changed chan struct{}
@@ -84,7 +84,7 @@
 	return h
 }
 
-// Take returns a hold of n bytes for a complete body, which is never cut off.
+// Take returns a hold of n bytes for a complete body, which is not cut off unless it is exposed.
 func (b *Budget) Take(n int64) *Hold {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -92,6 +92,18 @@
 	return &Hold{budget: b, size: n}
 }
 
+// Expose lets the complete body of a hold from Take be cut off like an unfinished one, because it is held for longer than usual. Its name
+// is used in logs, and the function interrupt must end its use without blocking. Close may have been called before.
+func (h *Hold) Expose(name string, interrupt func()) {
+	b := h.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if h.size > 0 {
+		h.name, h.interrupt = name, interrupt
+		b.growing[h] = struct{}{}
+	}
+}
+
 // Grow adds n bytes to the hold of an unfinished body. If the budget is used up, the largest unfinished body is cut off,
 // which may be this one; the call then returns ErrEvicted. Otherwise it waits for the memory of the other one.
 func (h *Hold) Grow(ctx context.Context, n int64) error {
--- a/ingress/handle.go
+++ b/ingress/handle.go
@@ -29,6 +29,10 @@
 	// unreadBodyTimeout bounds the read of a body that is not needed, because its request is refused. The HTTP server reads it
 	// to keep the connection.
 	unreadBodyTimeout = time.Second
+	// unreadTime is the time from which on an answer of at least minExposed bytes that its caller has not read may be cut off if the
+	// memory for bodies is used up.
+	unreadTime = time.Second
+	minExposed = 64 << 10
 	// retryAfterRefusal is the delay for a request that others may accept: an upstream refused it and this VM's share of the
 	// retries and hedges was used up, or this VM stops.
 	retryAfterRefusal = 30 * time.Millisecond
@@ -222,7 +226,14 @@
 			// A nil entry keeps the HTTP server from detecting the content type.
 			h["Content-Type"] = nil
 		}
-		defer s.config.Bodies.Take(int64(len(out.Body))).Close()
+		hold := s.config.Bodies.Take(int64(len(out.Body)))
+		defer hold.Close()
+		if len(out.Body) >= minExposed {
+			unread := time.AfterFunc(unreadTime, func() {
+				hold.Expose(r.Header.Get(s.config.Dialect.RequestID), func() { keepalive.Break(r.Context()) })
+			})
+			defer unread.Stop()
+		}
 		w.WriteHeader(out.Status)
 		// An error means that the caller disconnected, which also cancels the request's context.
 		_, _ = w.Write(out.Body)
--- a/keepalive/conn.go
+++ b/keepalive/conn.go
@@ -18,6 +18,12 @@
 // of a request starts only with its fourth byte.
 const firstBytesTimeout = 10 * time.Second
 
+// writeTimeout bounds the time in which a caller reads a part of writePart bytes of an answer.
+const (
+	writeTimeout = 10 * time.Second
+	writePart    = 64 << 10
+)
+
 // conn is a connection that knows whether a request is being read from it.
 type conn struct {
 	net.Conn
@@ -56,6 +62,19 @@
 	return n, err
 }
 
+// Write writes to the connection. It fails if the caller takes no part of the bytes for writeTimeout.
+func (c *conn) Write(b []byte) (n int, err error) {
+	for {
+		if err := c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return n, err
+		}
+		written, err := c.Conn.Write(b[n:min(n+writePart, len(b))])
+		if n += written; err != nil || n == len(b) {
+			return n, err
+		}
+	}
+}
+
 // Close closes the connection.
 func (c *conn) Close() error {
 	c.listener.remove(c)
--- a/keepalive/keepalive_test.go
+++ b/keepalive/keepalive_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -176,3 +177,59 @@
 		So(keepalive.HasLeft(ctx), ShouldBeTrue)
 	})
 }
+
+// pipeListener accepts one end of a pipe, which has no buffer.
+type pipeListener struct {
+	net.Listener
+	conn net.Conn
+}
+
+func (l pipeListener) Accept() (net.Conn, error) { return l.conn, nil }
+
+// TestUnreadAnswer guards against an answer that is held for ever because its caller doesn't read it, and against one that is cut off
+// although its caller reads on.
+func TestUnreadAnswer(t *testing.T) {
+	const size = 200 << 10
+	tests := map[string]struct {
+		// pause is the time that the caller takes for each part of 64 KiB, of which it reads at most parts.
+		pause time.Duration
+		parts int
+		want  error
+		took  time.Duration
+	}{
+		"read at once":     {0, 10, nil, 0},
+		"read slowly":      {9 * time.Second, 10, nil, 27 * time.Second},
+		"read too slowly":  {11 * time.Second, 10, os.ErrDeadlineExceeded, 10 * time.Second},
+		"not read":         {0, 0, os.ErrDeadlineExceeded, 10 * time.Second},
+		"not read further": {time.Second, 2, os.ErrDeadlineExceeded, 11 * time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				server, caller := net.Pipe()
+				c, err := keepalive.New(pipeListener{conn: server}).Accept()
+				if err != nil {
+					t.Fatal(err)
+				}
+				go func() {
+					for range test.parts {
+						if _, err := io.ReadFull(caller, make([]byte, 64<<10)); err != nil {
+							return
+						}
+						time.Sleep(test.pause)
+					}
+				}()
+				start := time.Now()
+				n, err := c.Write(make([]byte, size))
+				if !errors.Is(err, test.want) || err == nil && n != size {
+					t.Errorf("%d bytes written, %v; want %v", n, err, test.want)
+				}
+				if took := time.Since(start); took < test.took || took > test.took+2*time.Second {
+					t.Errorf("%s, want %s", took, test.took)
+				}
+				_, _ = c.Close(), caller.Close()
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
--- a/keepalive/listener.go
+++ b/keepalive/listener.go
@@ -90,6 +90,14 @@
 	}
 }
 
+// Break closes the connection of the request with the context, in the middle of its answer if need be.
+func Break(ctx context.Context) {
+	if c, ok := ctx.Value(connKey{}).(*conn); ok {
+		// An error means that the connection is closed already.
+		_ = c.Close()
+	}
+}
+
 // CloseExpired closes the connections that have been idle for longer than announced to their callers, and returns their
 // number.
 func (l *Listener) CloseExpired(now time.Time) int {
