End answers of entry VMs that their callers don't read

An entry VM held an answer, its connection and its request for as long as the caller left the answer unread: 13 s after the answer began, all of its 16 MiB could still be read. As for gateways before, writes had no time limit.

The listener for callers is now the one of gateways, whose connections end if the caller takes no 64 KiB in 10 s. TestUnreadAnswer of package frontend failed before.

--- a/frontend/server.go
+++ b/frontend/server.go
@@ -14,6 +14,7 @@
 	"github.com/fulmarhitch/fulmarhitch/addressing"
 	"github.com/fulmarhitch/fulmarhitch/buffer"
 	"github.com/fulmarhitch/fulmarhitch/generation"
+	"github.com/fulmarhitch/fulmarhitch/keepalive"
 	"github.com/fulmarhitch/fulmarhitch/outcome"
 	"github.com/fulmarhitch/fulmarhitch/request"
 	"github.com/fulmarhitch/fulmarhitch/submission"
@@ -72,11 +73,13 @@
 func New(c Config) *Server {
 	s := &Server{config: c, serveDone: make(chan error, 1)}
 	// The timeout is 0 because each request carries its own deadline.
-	s.http = khttp.NewServer(khttp.Listener(c.Listener), khttp.Timeout(0), khttp.NotFoundHandler(http.NotFoundHandler()),
+	listener := keepalive.New(c.Listener)
+	s.http = khttp.NewServer(khttp.Listener(listener), khttp.Timeout(0), khttp.NotFoundHandler(http.NotFoundHandler()),
 		khttp.MethodNotAllowedHandler(http.NotFoundHandler()), khttp.Filter(s.interceptCalls))
 	s.http.MaxHeaderBytes = maxHeaderBytes
 	s.http.ReadHeaderTimeout = readHeaderTimeout
 	s.http.IdleTimeout = idleTimeout
+	s.http.ConnState = listener.ConnState
 	s.http.HandleFunc("/v1/addresses", s.addresses)
 	s.http.HandleFunc("/v1/configuration", s.configuration)
 	s.http.HandleFunc("/v1/check", s.check)
