--- a/crash/guard.go
+++ b/crash/guard.go
@@ -97,7 +97,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, f := range fingerprints {
-		g.table.Acquit(f)
+		g.table.MarkAnswered(f)
 	}
 }
 
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -22,9 +22,9 @@
 const Span = time.Minute
 
 const (
-	// relapseFactor is the factor by which each further quarantine of a fingerprint is longer, up to maxQuarantine.
-	relapseFactor = 10
-	maxQuarantine = 24 * time.Hour
+	// quarantineGrowth is the factor by which each further quarantine of a fingerprint is longer, up to maxQuarantine.
+	quarantineGrowth = 10
+	maxQuarantine    = 24 * time.Hour
 )
 
 // minGap is the time between two deaths that cause a quarantine of requests that differ in part. Upstreams that die together say
@@ -39,9 +39,9 @@
 	Part uint64
 	// At is the time of the death.
 	At time.Time
-	// acquitted reports whether a request with the fingerprint was answered afterwards. The entry stays, so that the same death
+	// answered reports whether a request with the fingerprint was answered afterwards. The entry stays, so that the same death
 	// isn't added again.
-	acquitted bool
+	answered bool
 }
 
 // Table holds the latest two distinct deaths of each of at most limit fingerprints, and the last quarantines of as many. It isn't
@@ -49,11 +49,11 @@
 type Table struct {
 	limit       int
 	deaths      map[uint64]deaths
-	quarantines map[uint64]term
+	quarantines map[uint64]period
 }
 
-// term is the last quarantine of a fingerprint that was not answered since.
-type term struct {
+// period is the last quarantine of a fingerprint that was not answered since.
+type period struct {
 	duration time.Duration
 	end      time.Time
 }
@@ -63,7 +63,7 @@
 
 // New returns an empty table for at most limit fingerprints.
 func New(limit int) *Table {
-	return &Table{limit: limit, deaths: make(map[uint64]deaths), quarantines: make(map[uint64]term)}
+	return &Table{limit: limit, deaths: make(map[uint64]deaths), quarantines: make(map[uint64]period)}
 }
 
 // Add records a death and reports whether it was added. A time after now counts as now. A death is not added if it is
@@ -82,22 +82,22 @@
 	d, added = d.add(e)
 	if added {
 		t.deaths[e.Fingerprint] = d
-		t.sentence(e, d)
+		t.extendQuarantine(e, d)
 	}
 	return added
 }
 
-// sentence begins or extends the quarantine of the fingerprint after a death that was added.
-func (t *Table) sentence(e Entry, d deaths) {
+// extendQuarantine begins or extends the quarantine of the fingerprint after a death that was added.
+func (t *Table) extendQuarantine(e Entry, d deaths) {
 	last, isKnown := t.quarantines[e.Fingerprint]
 	switch {
 	case isKnown && e.At.Before(last.end):
 		last.end = later(last.end, e.At.Add(last.duration))
 	case isKnown:
-		last.duration = min(last.duration*relapseFactor, maxQuarantine)
+		last.duration = min(last.duration*quarantineGrowth, maxQuarantine)
 		last.end = e.At.Add(last.duration)
 	case d.areRelated():
-		last = term{Span, d[1].At.Add(Span)}
+		last = period{Span, d[1].At.Add(Span)}
 		t.limitQuarantines()
 	default:
 		return
@@ -145,7 +145,7 @@
 			continue
 		}
 		for _, e := range d {
-			if !e.At.IsZero() && !e.acquitted && now.Sub(e.At) < 2*Span {
+			if !e.At.IsZero() && !e.answered && now.Sub(e.At) < 2*Span {
 				all = append(all, e)
 			}
 		}
@@ -213,7 +213,7 @@
 // latest death is part of a pair itself.
 func (d deaths) level(now time.Time) Level {
 	switch {
-	case d.expired(now) || d[1].acquitted && (d[0].At.IsZero() || d[0].acquitted):
+	case d.expired(now) || d[1].answered && (d[0].At.IsZero() || d[0].answered):
 		return Clear
 	case d.areRelated():
 		return Quarantined
@@ -224,7 +224,7 @@
 
 // areRelated reports whether there are two deaths that cause a quarantine together.
 func (d deaths) areRelated() bool {
-	if d[0].At.IsZero() || d[0].acquitted || d[1].acquitted {
+	if d[0].At.IsZero() || d[0].answered || d[1].answered {
 		return false
 	}
 	gap := d[1].At.Sub(d[0].At)
@@ -236,14 +236,14 @@
 	return d[1].At.IsZero() || now.Sub(d[1].At) >= Span
 }
 
-// Acquit clears the fingerprint of the deaths so far. It is called when an upstream has answered the request, which shows that
+// MarkAnswered clears the fingerprint of the deaths so far. It is called when an upstream has answered the request, which shows that
 // the request does not crash the upstreams that run it.
-func (t *Table) Acquit(fingerprint uint64) {
+func (t *Table) MarkAnswered(fingerprint uint64) {
 	delete(t.quarantines, fingerprint)
 	d, known := t.deaths[fingerprint]
 	if !known {
 		return
 	}
-	d[0].acquitted, d[1].acquitted = true, true
+	d[0].answered, d[1].answered = true, true
 	t.deaths[fingerprint] = d
 }
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -102,18 +102,18 @@
 	}
 }
 
-// TestAcquit guards against deaths that count again after an answer because they are reported once more, and against deaths after the
+// TestAnswered guards against deaths that count again after an answer because they are reported once more, and against deaths after the
 // answer that don't count.
-func TestAcquit(t *testing.T) {
+func TestAnswered(t *testing.T) {
 	now := time.Unix(1000, 0)
 	entry := func(death uint64) quarantine.Entry {
 		return quarantine.Entry{Fingerprint: 7, Death: death, At: now.Add(time.Duration(death) * time.Second)}
 	}
 	table := quarantine.New(2)
-	table.Acquit(7)
+	table.MarkAnswered(7)
 	table.Add(entry(1), now.Add(2*time.Second))
 	table.Add(entry(2), now.Add(2*time.Second))
-	table.Acquit(7)
+	table.MarkAnswered(7)
 	if table.Add(entry(2), now.Add(3*time.Second)) || table.Level(7, now.Add(3*time.Second)) != quarantine.Clear {
 		t.Error("a death counts again")
 	}
@@ -130,9 +130,9 @@
 	}
 }
 
-// TestRelapse guards against a request that is let through each minute and crashes upstreams again each time, and against a quarantine
+// TestRepeatedQuarantine guards against a request that is let through each minute and crashes upstreams again each time, and against a quarantine
 // that an answer doesn't end.
-func TestRelapse(t *testing.T) {
+func TestRepeatedQuarantine(t *testing.T) {
 	tests := map[string]struct {
 		// deaths are the times of deaths in s, of which the request is answered before the one at answered.
 		deaths   []int
@@ -155,7 +155,7 @@
 			for i, at := range test.deaths {
 				now := start.Add(time.Duration(at) * time.Second)
 				if at == test.answered {
-					table.Acquit(7)
+					table.MarkAnswered(7)
 				}
 				table.Add(quarantine.Entry{Fingerprint: 7, Death: uint64(i + 1), At: now}, now)
 			}
--- a/suspect/tracker.go
+++ b/suspect/tracker.go
@@ -96,6 +96,6 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.table.Level(fingerprint, now) == quarantine.Suspect {
-		t.table.Acquit(fingerprint)
+		t.table.MarkAnswered(fingerprint)
 	}
 }
