Guard what two tests share between their goroutines

The race detector found the models of TestVerdicts and TestSpillAfterLost unguarded. No check has changed.

--- a/crash/verdict_test.go
+++ b/crash/verdict_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,7 +27,9 @@
 
 // model is a fleet of VMs with upstreams that crash on some requests.
 type model struct {
-	guards    []*crash.Guard
+	guards []*crash.Guard
+
+	mu        sync.Mutex
 	upstreams [upstreamCount]struct {
 		running []*request.Request
 		by      []*crash.Guard
@@ -52,7 +55,16 @@
 	return nil
 }
 
-// kill ends an upstream, which starts again later.
+// after calls the function after the time, with the model locked.
+func (m *model) after(d time.Duration, f func()) {
+	time.AfterFunc(d, func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		f()
+	})
+}
+
+// kill ends an upstream, which starts again later; the caller holds mu.
 func (m *model) kill(n int) {
 	u := &m.upstreams[n]
 	for i, r := range u.running {
@@ -60,11 +72,13 @@
 	}
 	u.running, u.by, u.dead = nil, nil, true
 	u.started++
-	time.AfterFunc(restartTime, func() { u.dead = false })
+	m.after(restartTime, func() { u.dead = false })
 }
 
 // send sends the request to a random VM, which sends it to a free upstream.
 func (m *model) send(r *request.Request) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	g, isHarmful := m.guards[rand.IntN(fleetSize)], m.crashes(r)
 	if g.IsQuarantined(r) {
 		if !isHarmful {
@@ -79,7 +93,7 @@
 		}
 		u.running, u.by = append(u.running, r), append(u.by, g)
 		if isHarmful {
-			time.AfterFunc(workTime/4, func() {
+			m.after(workTime/4, func() {
 				if !u.dead {
 					m.lost++
 					m.kill(n)
@@ -87,7 +101,7 @@
 			})
 			return
 		}
-		time.AfterFunc(workTime, func() {
+		m.after(workTime, func() {
 			for i, running := range u.running {
 				if running == r {
 					u.running, u.by = append(u.running[:i:i], u.running[i+1:]...), append(u.by[:i:i], u.by[i+1:]...)
@@ -177,9 +191,11 @@
 						m.send(test.harmful(n / int(interval/step)))
 					}
 					if test.killed > 0 && n%int(time.Minute/step) == int(30*time.Second/step) {
+						m.mu.Lock()
 						for k := range test.killed {
 							m.kill(k)
 						}
+						m.mu.Unlock()
 					}
 					time.Sleep(step)
 					synctest.Wait()
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -56,6 +56,9 @@
 	return res
 }
 
+// peersMu guards what the fakes of peers record; tables of tests copy the fakes.
+var peersMu sync.Mutex
+
 // peers is a fake that returns an outcome or an error for each call.
 type peers struct {
 	out   outcome.Outcome
@@ -65,6 +68,8 @@
 }
 
 func (p *peers) Run(_ context.Context, _ string, m *peerpb.RunRequest) (*peerpb.RunResponse, error) {
+	peersMu.Lock()
+	defer peersMu.Unlock()
 	p.calls, p.ids = append(p.calls, m.GetMode()), append(p.ids, m.GetRequestId())
 	if p.err != nil {
 		return nil, p.err
