--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -1073,13 +1073,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
-				s, n := newStore(), &network{nodes: make(map[string]*node)}
-				go s.runStale(ctx)
-				for i := range numUpstreams {
-					s.put(fmt.Sprintf("up-%04d", i), nil)
-				}
-				nodes := n.startAll(t, s, fleetOf(c.vms, c.fast), 1)
-				time.Sleep(15 * time.Second)
+				s, n, nodes, _ := startFleet(ctx, t, fleetOf(c.vms, c.fast))
 				// The watcher and its standby end first, and then others that nobody follows.
 				slices.SortStableFunc(nodes, func(a, b *node) int {
 					return cmp.Compare(min(len(a.membership.Sources().Peers), 2), min(len(b.membership.Sources().Peers), 2))
