--- a/review/lab/consumer.go
+++ b/review/lab/consumer.go
@@ -17,7 +17,7 @@
 func Resolve(directory, zone string) (addresses []string, ttl time.Duration, err error) {
 	client := http.Client{Timeout: time.Second}
 	query := url.Values{"name": {Host}, "region": {"lab"}, "zone": {zone}}
-	resp, err := client.Get("http://" + directory + "/-/resolve?" + query.Encode())
+	resp, err := client.Get("http://" + directory + names["resolve"] + "?" + query.Encode())
 	if err != nil {
 		return nil, 0, err
 	}
@@ -50,6 +50,8 @@
 	// Directories are asked in turn for addresses.
 	Directories []string
 	Zone        string
+	// Headers are further header lines of each request, each with its end.
+	Headers string
 
 	count     int
 	addresses []string
@@ -113,7 +115,7 @@
 	if err := c.conn.SetDeadline(a.Sent.Add(deadline)); err != nil {
 		return 0, "", err
 	}
-	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n", a.Method, a.Target, Host, a.ID, deadline.Milliseconds())
+	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\n%s: %d\r\n%s", a.Method, a.Target, Host, a.ID, names["deadline"], deadline.Milliseconds(), c.Headers)
 	if a.Method != http.MethodGet {
 		text += "Content-Length: 0\r\n"
 	}
--- a/review/lab/gateway.go
+++ b/review/lab/gateway.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -64,9 +65,9 @@
 		handler := store.Handler()
 		g.server = &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			switch {
-			case r.URL.Path == "/-/kv-watch":
+			case r.URL.Path == names["watch"]:
 				g.watches.Add(1)
-			case len(r.URL.Path) > 10 && r.URL.Path[:10] == "/-/kv-keep":
+			case strings.HasPrefix(r.URL.Path, names["renew"]):
 				g.renewals.Add(1)
 			}
 			handler.ServeHTTP(w, r)
@@ -143,7 +144,7 @@
 // IsReady reports whether the gateway answers a readiness check with 200.
 func (g *Gateway) IsReady() bool {
 	client := http.Client{Timeout: time.Second}
-	resp, err := client.Get("http://" + g.Ready + "/-/readyz")
+	resp, err := client.Get("http://" + g.Ready + names["ready"])
 	if err != nil {
 		return false
 	}
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -45,7 +45,7 @@
 	b, err := json.Marshal(map[string]any{
 		"version": version,
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeout": "3000ms", "idleTimeout": "15000ms"},
-		"listeners": []any{map[string]any{"host": Host, "ruleSet": []any{
+		"listeners": []any{map[string]any{"host": Host, names["rules"]: []any{
 			route("record-read", "safe", ReadPrefix, ReadDesk, "400ms", "3000ms"),
 			route("cultivar-claim", "unsafe", ClaimPrefix, ClaimBook, "500ms", "4000ms"),
 		}}},
@@ -66,15 +66,20 @@
 	folder    string
 }
 
+// maxStarts is the number of times that a lab is started: another process may take a port that was free a moment before.
+const maxStarts = 3
+
 // New starts a store, n instances of each service and so many gateways, and waits until these are ready. It writes the record to the
 // path.
-func New(record string, n, gateways int, onRun func(Run)) (*Lab, error) {
-	l := &Lab{Store: standin.NewStore()}
-	if err := l.start(record, n, gateways, onRun); err != nil {
+func New(record string, n, gateways int, onRun func(Run)) (l *Lab, err error) {
+	for range maxStarts {
+		l = &Lab{Store: standin.NewStore()}
+		if err = l.start(record, n, gateways, onRun); err == nil {
+			return l, nil
+		}
 		l.Close()
-		return nil, err
 	}
-	return l, nil
+	return nil, err
 }
 
 func (l *Lab) start(record string, n, gateways int, onRun func(Run)) (err error) {
@@ -84,7 +89,7 @@
 	if l.folder, err = os.MkdirTemp("", "review-lab-"); err != nil {
 		return err
 	}
-	l.Store.Put("op/config", Configuration(1))
+	l.Store.Put(standin.ConfigurationKey, Configuration(1))
 	for _, service := range []string{ReadDesk, ClaimBook} {
 		for k := range n {
 			i := &Instance{ID: fmt.Sprintf("i-%s-%d", service, k+1), Service: service, Zone: Zone, Slots: 3, Work: work[service], OnRun: onRun}
