Log who leads the list of VMs, and whom it removes

The logs showed neither which VM leads the list of VMs nor when one is removed from it, so that they couldn't tell a late removal at the leading VM from a list that doesn't reach the others.

A VM now logs that it begins or ends to lead, with the age of the list that it takes over, and each removal with the silence of the VM and its last reporter.

--- a/gateway/endpoint_test.go
+++ b/gateway/endpoint_test.go
@@ -11,6 +11,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/fulmarhitch/fulmarhitch/fleet"
 	"github.com/fulmarhitch/fulmarhitch/flood"
 	"github.com/fulmarhitch/fulmarhitch/mirror"
@@ -102,7 +104,7 @@
 	case "relay":
 		l := relay.NewLog()
 		l.Add(mirror.Batch{Whole: true, Revision: 1}, time.Now())
-		return relay.Handler(l, presence.New(fleet.VM{Name: "vm"}, func([]fleet.VM) {}))
+		return relay.Handler(l, presence.New(fleet.VM{Name: "vm"}, func([]fleet.VM) {}, logrus.NewEntry(&logrus.Logger{})))
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -146,7 +146,7 @@
 		self.PeerAddress = l.peers.Addr().String()
 	}
 	g.fleet = fleet.New(self)
-	g.vms = presence.New(self, g.updateList)
+	g.vms = presence.New(self, g.updateList, g.log)
 	g.peerClient = relay.NewClient(g.vms)
 	g.membership = membership.New(membership.Config{
 		Store: c.Store, Decode: c.Decode, Fleet: g.fleet, Table: g.vms, IsReady: g.isReady, IsCutOff: g.isCutOff, Log: g.log,
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -496,7 +496,7 @@
 	logger.SetOutput(io.Discard)
 	log := logrus.NewEntry(logger)
 	x := &node{vm: vm, log: relay.NewLog(), fleet: fleet.New(vm), roster: roster.New(), running: true}
-	x.table = presence.New(vm, x.fleet.SetPresent)
+	x.table = presence.New(vm, x.fleet.SetPresent, log)
 	a := access{s, n, vm}
 	isReady := func() bool { return x.mirror.Rules() != nil && x.roster.Len() > 0 }
 	x.membership = membership.New(membership.Config{
--- a/presence/presence_test.go
+++ b/presence/presence_test.go
@@ -6,6 +6,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/fulmarhitch/fulmarhitch/fleet"
 	"github.com/fulmarhitch/fulmarhitch/presence"
 )
@@ -19,7 +21,7 @@
 
 func newNode(name string) *node {
 	n := &node{vm: fleet.VM{Name: name, Serving: true}}
-	n.table = presence.New(n.vm, func(vms []fleet.VM) { n.list = vms })
+	n.table = presence.New(n.vm, func(vms []fleet.VM) { n.list = vms }, logrus.NewEntry(&logrus.Logger{}))
 	return n
 }
 
--- a/presence/table.go
+++ b/presence/table.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
 
 	"github.com/fulmarhitch/fulmarhitch/fleet"
 )
@@ -121,6 +122,7 @@
 type Table struct {
 	// onList is called with the whole list after each change, while the table is locked.
 	onList func([]fleet.VM)
+	log    *logrus.Entry
 
 	mu      sync.Mutex
 	self    fleet.VM
@@ -149,9 +151,9 @@
 
 // New returns a table for the VM self with an empty list. The function onList is called with the whole list after each
 // change; it must not call the table.
-func New(self fleet.VM, onList func([]fleet.VM)) *Table {
+func New(self fleet.VM, onList func([]fleet.VM), log *logrus.Entry) *Table {
 	return &Table{
-		onList: onList, self: self, reports: make(map[string]report), list: make(map[string]listed),
+		onList: onList, log: log, self: self, reports: make(map[string]report), list: make(map[string]listed),
 		changed: make(chan struct{}), lastExpiry: time.Now(),
 	}
 }
@@ -237,9 +239,12 @@
 	}
 	t.leads = leads
 	delete(t.reports, inherited)
+	log := t.log.WithFields(logrus.Fields{"listed": len(t.list), "confirmed-ms-ago": now.Sub(t.confirmed).Milliseconds()})
 	if !leads {
+		log.Info("this VM no longer leads the list of VMs")
 		return
 	}
+	log.Info("this VM leads the list of VMs")
 	// While no VM led, none could report itself to one, so that this time doesn't count.
 	lag := min(now.Sub(t.confirmed), usualLag)
 	r := report{lastSeen: now}
@@ -398,6 +403,7 @@
 	}
 	for name := range t.list {
 		if !present[name] {
+			t.logRemoval(name, now)
 			t.remove(name, version)
 			changed = true
 		}
@@ -408,6 +414,21 @@
 	}
 }
 
+// logRemoval logs that this VM, which leads, removes another one from the list, and who reported it last; the caller holds mu.
+func (t *Table) logRemoval(name string, now time.Time) {
+	log := t.log.WithField("peer", name)
+	var heard time.Time
+	for reporter, r := range t.reports {
+		for i, vm := range r.vms {
+			if vm.Name == name && r.heard[i].After(heard) {
+				heard = r.heard[i]
+				log = t.log.WithFields(logrus.Fields{"peer": name, "reporter": reporter, "silence-ms": now.Sub(heard).Milliseconds()})
+			}
+		}
+	}
+	log.Info("VM removed from the list of VMs")
+}
+
 // remove removes a VM from the list; the caller holds mu.
 func (t *Table) remove(name string, version uint64) {
 	delete(t.list, name)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/fulmarhitch/fulmarhitch/fleet"
@@ -42,7 +43,7 @@
 
 // newTable returns a table that lists only the VM.
 func newTable(name string) *presence.Table {
-	return presence.New(fleet.VM{Name: name}, func([]fleet.VM) {})
+	return presence.New(fleet.VM{Name: name}, func([]fleet.VM) {}, logrus.NewEntry(&logrus.Logger{}))
 }
 
 // serve serves the log and returns a peer that reads it and the meter of its answers.
