Let the next relay lead the list of VMs as soon as the one before doesn't answer

Cause: watching the store and leading the list of VMs were two roles with timers of their own. The standby took over the watch as soon as its calls failed, but led the list only when the registration of the lost VM had expired (4 s) or, while the store was away, after 2.5 s without a confirmed list and 1.5 s more for each relay behind. It then kept the VMs of the list that it inherited for 3.5 s. With leaders that end in series the waits added up: 7.6 to 12.6 s.

Change: one role. A relay that didn't answer the last call of a VM has no place in the order for that VM, until it answers again; so whoever takes over the watch also leads the list. The timers of the stand-in are gone. Lost relays are called again in between, after 2 s instead of 4.

What is inherited is dated: lists state the silences of VMs that are known by an earlier list only, a leading VM confirms its list as it answers, and inherited VMs expire 3.2 s after they were last heard of, not 3.5 s after the lead has moved. A follower keeps the VMs of the earlier list until then, so that a list that is still short doesn't hide live VMs. What a VM has inherited is no longer in its own reports. While the store is away, calls of peers end after 0.25 or 0.4 s; they hung for 2 s.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -150,6 +150,7 @@
 	g.peerClient = relay.NewClient(g.vms)
 	g.membership = membership.New(membership.Config{
 		Store: c.Store, Decode: c.Decode, Fleet: g.fleet, Table: g.vms, IsReady: g.isReady, IsCutOff: g.isCutOff, Log: g.log,
+		IsLost:   func(name, incarnation string) bool { return g.mirror.IsLost(name, incarnation) },
 		StoreAge: func() time.Duration { return g.mirror.Age() },
 		Seeds:    s.Seeds,
 		Follow:   func(vm fleet.VM) mirror.Source { return relay.NewPeer(g.peerClient, vm.PeerAddress) },
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	mathrand "math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -31,10 +32,6 @@
 	sizeTimeout = 500 * time.Millisecond
 	// remoteDelay is the time after the start in which a VM waits for a relay of its own failure domain.
 	remoteDelay = 2500 * time.Millisecond
-	// standInDelay is the time without a confirmed list after which the standby leads it while the store can't tell whether the
-	// watcher has ended, and standInStep the time by which each VM after it waits longer.
-	standInDelay = 2500 * time.Millisecond
-	standInStep  = 1500 * time.Millisecond
 	// readStep is the time that each relay of a starting fleet leaves the one before it in the order to read the store. The processes
 	// of a fleet that lost power start within about 400 ms of each other, and all others wait for the first that reads.
 	readStep = 120 * time.Millisecond
@@ -58,6 +55,8 @@
 	Table *presence.Table
 	// IsReady reports whether this VM serves callers, and IsCutOff whether it reaches no upstream.
 	IsReady, IsCutOff func() bool
+	// IsLost reports whether the incarnation of the named VM didn't answer the last call of this VM.
+	IsLost func(name, incarnation string) bool
 	// StoreAge returns the time since the last contact with the store, also by way of other VMs.
 	StoreAge func() time.Duration
 	// Seeds are addresses of VMs for other VMs, which may be known without the store. They may have ended.
@@ -104,9 +103,13 @@
 	return m.config.Fleet.List()
 }
 
-// place returns this VM's place in the hierarchy of followers.
+// place returns this VM's place in the hierarchy of followers. Relays that didn't answer it last have none: their registrations last
+// for seconds after their end and, while the store can't be reached, for longer.
 func (m *Membership) place() topology.Place {
-	relays := m.Relays()
+	relays := m.reachable(m.config.Fleet.Relays())
+	if len(relays) == 0 {
+		relays = m.reachable(m.config.Fleet.List())
+	}
 	// A VM may know few others of a large fleet, so that only the stored size shows that a fleet is not large.
 	size := m.config.Fleet.StoredSize()
 	if size > 0 {
@@ -115,10 +118,20 @@
 	return topology.New(m.config.Fleet.Self(), relays, size)
 }
 
+// reachable returns the VMs without those that are lost.
+func (m *Membership) reachable(vms []fleet.VM) []fleet.VM {
+	return slices.DeleteFunc(slices.Clone(vms), func(vm fleet.VM) bool { return m.config.IsLost(vm.Name, vm.Incarnation) })
+}
+
+// lost returns the relays that are lost.
+func (m *Membership) lost() []fleet.VM {
+	return slices.DeleteFunc(slices.Clone(m.Relays()), func(vm fleet.VM) bool { return !m.config.IsLost(vm.Name, vm.Incarnation) })
+}
+
 // Sources returns the VMs to follow in place of the store.
 func (m *Membership) Sources() mirror.Sources {
 	p := m.place()
-	s := mirror.Sources{Tier: p.Tier, FleetSize: m.config.Fleet.StoredSize(), Seeds: m.seeds()}
+	s := mirror.Sources{Tier: p.Tier, FleetSize: m.config.Fleet.StoredSize(), Seeds: m.seeds(), Lost: m.peers(m.lost())}
 	if time.Since(m.start) > settleTime {
 		s.FleetSize = m.config.Fleet.KnownSize()
 	}
@@ -134,7 +147,7 @@
 	var vms []fleet.VM
 	for _, address := range m.config.Seeds {
 		if address != m.config.Fleet.Self().PeerAddress {
-			vms = append(vms, fleet.VM{Name: address, PeerAddress: address})
+			vms = append(vms, fleet.VM{Name: address, Incarnation: address, PeerAddress: address})
 		}
 	}
 	return m.peers(vms)
@@ -145,7 +158,7 @@
 	var list []mirror.Peer
 	for _, vm := range vms {
 		if vm.PeerAddress != "" {
-			list = append(list, mirror.Peer{Name: vm.Name, Source: m.config.Follow(vm)})
+			list = append(list, mirror.Peer{Name: vm.Name, Incarnation: vm.Incarnation, Source: m.config.Follow(vm)})
 		}
 	}
 	return list
@@ -227,19 +240,11 @@
 	ready, cutOff := m.config.IsReady(), m.config.IsCutOff()
 	m.config.Fleet.SetState(ready, cutOff)
 	m.config.Table.SetState(ready, cutOff)
-	isStale := m.config.StoreAge() > registration.LeaseTTL
-	m.config.Fleet.SetStale(isStale)
-	place := m.place()
-	m.config.Table.Lead(place.Tier == topology.Watcher || isStale && m.standsIn(place, now), rand.Text(), now)
+	m.config.Fleet.SetStale(m.config.StoreAge() > registration.LeaseTTL)
+	m.config.Table.Lead(m.place().Tier == topology.Watcher, rand.Text(), now)
 	m.config.Table.Expire(now)
 }
 
-// standsIn reports whether this VM leads the list in place of those before it, because none of them has confirmed it for long enough.
-func (m *Membership) standsIn(p topology.Place, now time.Time) bool {
-	delay := standInDelay + time.Duration(p.Rank-1)*standInStep
-	return p.Rank > 0 && now.Sub(m.config.Table.ConfirmedByOther()) > delay
-}
-
 // hasChanged reports whether the size of the fleet has changed by more than sizeChange.
 func hasChanged(before, now int) bool {
 	return float64(max(now-before, before-now)) > sizeChange*float64(before)
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -4,9 +4,11 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"io"
 	"maps"
+	"os"
 	"slices"
 	"sync"
 	"testing"
@@ -38,6 +40,9 @@
 	ownPrefix = "vm/"
 )
 
+// logs prints the logs of the VMs, to trace the test of one seed.
+var logs = flag.Bool("logs", false, "print the logs of the VMs")
+
 var errUnavailable = errors.New("not available")
 
 // store is a fake store with the entries of a large deployment. Renewals and reads that may be old count as a tenth of a call.
@@ -51,6 +56,9 @@
 	stale []mirror.Entry
 	calls float64
 	down  bool
+	// delay is the time that a call takes beyond callTime, and pausesLeases reports whether leases don't run while the store is down.
+	delay        time.Duration
+	pausesLeases bool
 	// dropped is the revision up to which the history is lost.
 	dropped uint64
 	// era is the number of the history.
@@ -67,9 +75,9 @@
 func (s *store) call(ctx context.Context, price float64) error {
 	s.mu.Lock()
 	s.calls += price
-	down := s.down
+	down, delay := s.down, s.delay
 	s.mu.Unlock()
-	time.Sleep(callTime)
+	time.Sleep(callTime + delay)
 	if down {
 		return errUnavailable
 	}
@@ -233,6 +241,28 @@
 // Release does nothing: the nodes are killed, and their entries expire.
 func (s *store) Release(context.Context, registration.Lease) error { return nil }
 
+// expireAfter removes the VM's entry when its lease has run for the time, unless isRenewed returns true by then.
+func (s *store) expireAfter(d time.Duration, vm fleet.VM, isRenewed func() bool) {
+	const step = 100 * time.Millisecond
+	for d > 0 {
+		time.Sleep(step)
+		s.mu.Lock()
+		if !s.down || !s.pausesLeases {
+			d -= step
+		}
+		s.mu.Unlock()
+	}
+	if !isRenewed() {
+		s.expire(vm)
+	}
+}
+
+func (s *store) setDelay(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = d
+}
+
 // expire removes the VM's entry unless it has been written again.
 func (s *store) expire(vm fleet.VM) {
 	s.mu.Lock()
@@ -285,6 +315,13 @@
 	registration *registration.Registration
 	cancel       context.CancelFunc
 	running      bool
+	// ended is closed when the process ends, startedAt is the time of its start.
+	// leaving reports that the VM shuts down gracefully.
+	leaving bool
+	ended   chan struct{}
+	// impairedUntil is the time at which the last impairment of the VM ends.
+	impairedUntil time.Time
+	startedAt     time.Time
 }
 
 // network holds the nodes by name.
@@ -294,10 +331,24 @@
 	// turnedAway holds the names of the nodes that the store turns away, and cutOff is the failure domain that is cut off.
 	turnedAway map[string]bool
 	cutOff     string
+	// silent holds the names of the nodes without power, to which packets are lost, and connected the pairs of nodes with a connection.
+	silent    map[string]bool
+	connected map[[2]string]bool
+	// isolated holds the names of the nodes without a path to the others and the store, and frozen those whose processes stand still, with
+	// channels that are closed when they go on.
+	isolated map[string]bool
+	frozen   map[string]chan struct{}
 	// seeds are the addresses of the VMs that a starting VM knows without the store.
 	seeds []string
 }
 
+func newNetwork() *network {
+	return &network{
+		nodes: make(map[string]*node), silent: make(map[string]bool), connected: make(map[[2]string]bool),
+		isolated: make(map[string]bool), frozen: make(map[string]chan struct{}),
+	}
+}
+
 func (n *network) get(name string) *node {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -353,6 +404,61 @@
 	}
 }
 
+// isolate cuts the nodes off from all others and from the store for the time.
+func (n *network) isolate(s *store, d time.Duration, nodes ...*node) {
+	n.impair(s, d, nodes, func(x *node) { n.isolated[x.vm.Name] = true }, func(x *node) { delete(n.isolated, x.vm.Name) })
+}
+
+// freeze makes the processes of the nodes stand still for the time.
+func (n *network) freeze(s *store, d time.Duration, nodes ...*node) {
+	n.impair(s, d, nodes, func(x *node) { n.frozen[x.vm.Name] = make(chan struct{}) }, func(x *node) {
+		close(n.frozen[x.vm.Name])
+		delete(n.frozen, x.vm.Name)
+	})
+}
+
+// impair begins an impairment of the nodes that ends after the time; both functions are called with mu held. The entries of the nodes
+// expire meanwhile.
+func (n *network) impair(s *store, d time.Duration, nodes []*node, begin, end func(x *node)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, x := range nodes {
+		begin(x)
+		until := time.Now().Add(d)
+		x.impairedUntil = until
+		go s.expireAfter(leaseTime, x.vm, func() bool { return !time.Now().Before(until) })
+		time.AfterFunc(d, func() {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			end(x)
+		})
+	}
+}
+
+// isIsolated reports whether the node has no path to others.
+func (n *network) isIsolated(name string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.isolated[name]
+}
+
+// thaw waits while the node's process stands still, and reports whether it did.
+func (n *network) thaw(name string) (wasFrozen bool) {
+	n.mu.Lock()
+	frozen := n.frozen[name]
+	n.mu.Unlock()
+	if frozen != nil {
+		<-frozen
+	}
+	return frozen != nil
+}
+
+func (n *network) isFrozen(name string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.frozen[name] != nil
+}
+
 // isCutOff reports whether the failure domain has no path to the other one, or to the store for "".
 func (n *network) isCutOff(from, to string) bool {
 	n.mu.Lock()
@@ -378,7 +484,8 @@
 
 // try returns an error if the call fails, which has its price if the store turns the node away.
 func (a access) try(ctx context.Context, price float64) error {
-	if a.network.isCutOff(a.vm.FailureDomain, "") {
+	a.network.thaw(a.vm.Name)
+	if a.network.isCutOff(a.vm.FailureDomain, "") || a.network.isIsolated(a.vm.Name) {
 		return silence(ctx)
 	}
 	a.network.mu.Lock()
@@ -405,7 +512,10 @@
 		return mirror.Batch{}, err
 	}
 	b, err := a.store.Watch(ctx, after, wait)
-	if a.network.isCutOff(a.vm.FailureDomain, "") {
+	if a.network.thaw(a.vm.Name) {
+		return mirror.Batch{}, errUnavailable
+	}
+	if a.network.isCutOff(a.vm.FailureDomain, "") || a.network.isIsolated(a.vm.Name) {
 		return mirror.Batch{}, silence(ctx)
 	}
 	return b, err
@@ -466,21 +576,36 @@
 
 func (l link) Watch(ctx context.Context, after mirror.Position, wait time.Duration) (mirror.Batch, error) {
 	time.Sleep(linkTime)
+	l.network.thaw(l.from.vm.Name)
 	to := l.network.get(l.to)
 	if to == nil {
-		return mirror.Batch{}, errUnavailable
+		return mirror.Batch{}, l.fail(ctx)
 	}
-	if l.network.isCutOff(l.from.vm.FailureDomain, to.vm.FailureDomain) {
-		return mirror.Batch{}, silence(ctx)
+	if !l.hasPath(to) {
+		return mirror.Batch{}, l.fail(ctx)
 	}
+	l.network.connect(l.from.vm.Name, l.to)
 	to.table.Record(l.from.table.Report(time.Now()), time.Now())
 	waitCtx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
+	go func() {
+		select {
+		case <-to.ended:
+			cancel()
+		case <-waitCtx.Done():
+		}
+	}()
 	b, fresh := to.log.Since(waitCtx, after, to.table.Changed())
-	if l.network.isCutOff(l.from.vm.FailureDomain, to.vm.FailureDomain) {
-		return mirror.Batch{}, silence(ctx)
+	if !l.hasPath(to) {
+		return mirror.Batch{}, l.fail(ctx)
 	}
-	if l.network.get(l.to) == nil || b.Revision == 0 {
+	if l.network.thaw(l.from.vm.Name) {
+		return mirror.Batch{}, errUnavailable
+	}
+	if l.network.get(l.to) != to {
+		return mirror.Batch{}, l.fail(ctx)
+	}
+	if b.Revision == 0 {
 		return mirror.Batch{}, errUnavailable
 	}
 	l.from.table.Apply(to.table.Changes(l.from.table.Position(), time.Now()), time.Now())
@@ -490,17 +615,68 @@
 	return b, ctx.Err()
 }
 
+// dialTime is the time after which a dial of a node without power fails.
+const dialTime = 150 * time.Millisecond
+
+// hasPath reports whether the node gets the packets of this one and answers them.
+func (l link) hasPath(to *node) bool {
+	n := l.network
+	return !n.isCutOff(l.from.vm.FailureDomain, to.vm.FailureDomain) && !n.isIsolated(l.from.vm.Name) && !n.isIsolated(l.to) && !n.isFrozen(l.to)
+}
+
+// fail returns the error of a call of a node that has ended, after the time in which the caller notices it.
+func (l link) fail(ctx context.Context) error {
+	n := l.network
+	pair := [2]string{l.from.vm.Name, l.to}
+	n.mu.Lock()
+	isSilent, wasConnected := n.silent[l.to] || n.isolated[l.to] || n.isolated[l.from.vm.Name] || n.frozen[l.to] != nil || n.cutOff != "", n.connected[pair]
+	delete(n.connected, pair)
+	n.mu.Unlock()
+	switch {
+	case !isSilent:
+		return errUnavailable
+	case wasConnected:
+		return silence(ctx)
+	}
+	dialCtx, cancel := context.WithTimeout(ctx, dialTime)
+	defer cancel()
+	return silence(dialCtx)
+}
+
+func (n *network) connect(from, to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.connected[[2]string{from, to}] = true
+}
+
+// cutPower is like kill for VMs that lose power: packets to them are lost.
+func (n *network) cutPower(s *store, nodes ...*node) {
+	n.mu.Lock()
+	for _, x := range nodes {
+		n.silent[x.vm.Name] = true
+	}
+	n.mu.Unlock()
+	n.kill(s, nodes...)
+}
+
 // start starts the process of a VM.
 func (n *network) start(t *testing.T, s *store, vm fleet.VM) *node {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	log := logrus.NewEntry(logger)
-	x := &node{vm: vm, log: relay.NewLog(), fleet: fleet.New(vm), roster: roster.New(), running: true}
+	if *logs {
+		logger.SetOutput(os.Stdout)
+		logger.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, TimestampFormat: "15:04:05.000"})
+	}
+	log := logrus.NewEntry(logger).WithField("vm", vm.Name)
+	x := &node{
+		vm: vm, log: relay.NewLog(), fleet: fleet.New(vm), roster: roster.New(), running: true, ended: make(chan struct{}), startedAt: time.Now(),
+	}
 	x.table = presence.New(vm, x.fleet.SetPresent, log)
 	a := access{s, n, vm}
 	isReady := func() bool { return x.mirror.Rules() != nil && x.roster.Len() > 0 }
 	x.membership = membership.New(membership.Config{
 		Store: a, Decode: decode, Fleet: x.fleet, Table: x.table, IsReady: isReady, IsCutOff: func() bool { return false }, Log: log,
+		IsLost:   func(name, incarnation string) bool { return x.mirror.IsLost(name, incarnation) },
 		StoreAge: func() time.Duration { return x.mirror.Age() },
 		Seeds:    n.seeds,
 		Follow:   func(vm fleet.VM) mirror.Source { return link{n, x, vm.Name} },
@@ -521,6 +697,7 @@
 	go func() {
 		for ctx.Err() == nil {
 			time.Sleep(500 * time.Millisecond)
+			n.thaw(vm.Name)
 			x.fleet.Expire(time.Now())
 			x.membership.Update(time.Now())
 		}
@@ -528,6 +705,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.nodes[vm.Name] = x
+	delete(n.silent, vm.Name)
 	return x
 }
 
@@ -539,6 +717,7 @@
 	n.mu.Lock()
 	for _, x := range nodes {
 		x.running = false
+		close(x.ended)
 	}
 	n.mu.Unlock()
 	var all sync.WaitGroup
@@ -548,7 +727,7 @@
 			_ = x.mirror.Stop(context.Background())
 			_ = x.membership.Stop(context.Background())
 			_ = x.registration.Stop(context.Background())
-			time.AfterFunc(leaseTime, func() { s.expire(x.vm) })
+			go s.expireAfter(leaseTime, x.vm, func() bool { return false })
 		})
 	}
 	all.Wait()
@@ -618,7 +797,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
-				s, n := newStore(), &network{nodes: make(map[string]*node)}
+				s, n := newStore(), newNetwork()
 				go s.runStale(ctx)
 				go func() {
 					for i := range numUpstreams {
@@ -688,7 +867,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		s, n := newStore(), &network{nodes: make(map[string]*node)}
+		s, n := newStore(), newNetwork()
 		go s.runStale(ctx)
 		for i := range numUpstreams {
 			s.put(fmt.Sprintf("up-%04d", i), nil)
@@ -743,7 +922,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
-				s, n := newStore(), &network{nodes: make(map[string]*node)}
+				s, n := newStore(), newNetwork()
 				go s.runStale(ctx)
 				for i := range numUpstreams {
 					s.put(fmt.Sprintf("up-%04d", i), nil)
@@ -802,7 +981,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		s, n := newStore(), &network{nodes: make(map[string]*node)}
+		s, n := newStore(), newNetwork()
 		go s.runStale(ctx)
 		s.put("up-0000", nil)
 		vms := fleetOf(15, 3)
@@ -836,7 +1015,7 @@
 // old show no relays for as long as the fleet starts.
 func TestOldReads(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, n := newStore(), &network{nodes: make(map[string]*node)}
+		s, n := newStore(), newNetwork()
 		s.put("up-0000", nil)
 		nodes := n.startAll(t, s, fleetOf(60, 2), 1)
 		time.Sleep(20 * time.Second)
@@ -915,7 +1094,7 @@
 
 // startFleet starts all VMs with a store that has the upstreams, and waits until they know each other and one watches the store.
 func startFleet(ctx context.Context, t *testing.T, vms []fleet.VM) (s *store, n *network, nodes []*node, watcher *node) {
-	s, n = newStore(), &network{nodes: make(map[string]*node)}
+	s, n = newStore(), newNetwork()
 	go s.runStale(ctx)
 	for i := range numUpstreams {
 		s.put(fmt.Sprintf("up-%04d", i), nil)
@@ -970,7 +1149,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
-				s, n := newStore(), &network{nodes: make(map[string]*node)}
+				s, n := newStore(), newNetwork()
 				go s.runStale(ctx)
 				for i := range numUpstreams {
 					s.put(fmt.Sprintf("up-%04d", i), nil)
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -86,7 +87,7 @@
 	Clock func() time.Duration
 	// MaxKeyAge is the ConfirmedAge above which the VM refuses requests, or 0 for no bound.
 	MaxKeyAge time.Duration
-	// OnChange is called after the view has changed.
+	// OnChange is called after the view, or the peers that are lost, have changed.
 	OnChange func()
 	Log      *logrus.Entry
 }
@@ -111,16 +112,23 @@
 	Seeds []Peer
 	// Fallback are the VMs to follow while neither the peers nor the store can be reached.
 	Fallback []Peer
+	// Lost are the VMs that are not among the others because they didn't answer the last call.
+	Lost []Peer
 }
 
 // Peer is a VM that may be followed.
 type Peer struct {
-	// Name identifies the VM.
-	Name string
+	// Name identifies the VM, and Incarnation the run of its process; it is empty if it isn't known.
+	Name, Incarnation string
 	// Source provides its entries.
 	Source Source
 }
 
+// process returns a key for the run of the peer's process.
+func (p Peer) process() string {
+	return p.Name + "\x00" + p.Incarnation
+}
+
 // Mirror is the kernel service that follows the store.
 type Mirror struct {
 	*kernel.Worker
@@ -146,6 +154,8 @@
 	evacuated map[string]bool
 	// peerAnsweredAt is the time at which a peer answered that it has lost contact with the store.
 	peerAnsweredAt time.Time
+	// retried reports whether the last step called a lost peer again.
+	retried bool
 	// storeAnswers reports whether the last answer came from the store itself, so that it is not the store that fails if no
 	// peer can be followed.
 	storeAnswers bool
@@ -155,8 +165,10 @@
 	mu sync.Mutex
 	// interrupt cancels the call in progress.
 	interrupt context.CancelFunc
-	// avoidUntil holds the times until which peers that failed are not followed, by name.
+	// avoidUntil holds the times until which peers that failed are not followed, by process.
 	avoidUntil map[string]time.Time
+	// lost holds the times of the last calls to the peers that didn't answer them, by process.
+	lost map[string]time.Time
 }
 
 // New returns a mirror without entries.
@@ -164,7 +176,7 @@
 	if c.Clock == nil {
 		c.Clock = boottime.Now
 	}
-	m := &Mirror{config: c, start: time.Now(), joined: make(chan struct{}), evacuated: make(map[string]bool), avoidUntil: make(map[string]time.Time), jitter: rand.Float64()}
+	m := &Mirror{config: c, start: time.Now(), joined: make(chan struct{}), evacuated: make(map[string]bool), avoidUntil: make(map[string]time.Time), lost: make(map[string]time.Time), jitter: rand.Float64()}
 	m.position.Store(&Position{})
 	m.Worker = kernel.NewWorker(m.follow)
 	return m
@@ -331,7 +343,7 @@
 			m.config.Log.WithError(err).Info("position belongs to an earlier history of the store; reading all entries")
 			canWatch, storeOnly = false, s.peer == nil
 		case s.peer != nil:
-			m.avoid(s.peer.Name, err)
+			m.avoid(*s.peer, err)
 		case errors.Is(err, ErrCompacted):
 			// The store answers, so no pause is needed.
 			m.config.Log.WithField("revision", m.Position().Revision).Info("store no longer holds the next changes; reading all entries")
@@ -364,8 +376,10 @@
 	case s.peer != nil:
 		source = s.peer.Source
 		switch {
-		case !canWatch:
+		case m.Position() == Position{}:
 			timeout = joinTimeout
+		case !canWatch:
+			timeout = peerSlack
 		case s.wait > 0:
 			timeout = s.wait + peerSlack
 		default:
@@ -389,6 +403,9 @@
 	} else {
 		b, err = source.Snapshot(callCtx)
 	}
+	if s.peer != nil && m.Position() != (Position{}) && ctx.Err() == nil && !errors.Is(err, context.Canceled) {
+		m.recordAnswer(*s.peer, err)
+	}
 	if err == nil && s.peer != nil && b.Age > s.maxAge {
 		err = errors.Mark(errors.Newf("last contact of the peer with the store was %d ms ago", b.Age.Milliseconds()), ErrStale)
 	}
@@ -430,6 +447,32 @@
 	return b, nil
 }
 
+// recordAnswer records whether the peer answered the last call to it; one that has lost contact with the store did.
+func (m *Mirror) recordAnswer(p Peer, err error) {
+	now, process := time.Now(), p.process()
+	m.mu.Lock()
+	_, wasLost := m.lost[process]
+	isLost := err != nil && !errors.IsAny(err, ErrStale, ErrCompacted, ErrRestored)
+	if isLost {
+		m.lost[process] = now
+	} else {
+		delete(m.lost, process)
+	}
+	maps.DeleteFunc(m.lost, func(_ string, at time.Time) bool { return now.Sub(at) > lostMemory })
+	m.mu.Unlock()
+	if isLost != wasLost {
+		m.config.OnChange()
+	}
+}
+
+// IsLost reports whether the incarnation of the named peer didn't answer the last call to it.
+func (m *Mirror) IsLost(name, incarnation string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, isLost := m.lost[Peer{Name: name, Incarnation: incarnation}.process()]
+	return isLost
+}
+
 // applyBatch decodes a batch of the peer, or of the store if peer is nil, and applies it.
 func (m *Mirror) applyBatch(b Batch, peer *Peer, now time.Time) {
 	var changes []Change
--- a/mirror/step.go
+++ b/mirror/step.go
@@ -25,8 +25,9 @@
 	// keyAgeShare is the share of MaxKeyAge at which a peer's answer should arrive at the latest. Without that bound, the ages of VMs that
 	// follow a relay reached 3.5 s in calm times: two waits of 1 s beside that of the store's watch.
 	keyAgeShare = 0.75
-	// failedPeerPause is the time for which a peer that failed is not followed. The lease of a dead one has expired by then.
-	failedPeerPause = 4 * time.Second
+	// failedPeerPause is the time for which a peer that failed is not followed. A live one is followed again before the VMs that the
+	// failure has separated from each other expire in the list of VMs.
+	failedPeerPause = 2 * time.Second
 	// startupPeerPause replaces failedPeerPause while this process starts.
 	startupPeerPause = 300 * time.Millisecond
 	// stalePeerPause replaces failedPeerPause for a peer that has lost contact with the store itself.
@@ -44,6 +45,8 @@
 	// and also the time between such calls that failed. The latter holds for a fleet of unknown size too.
 	minFollowerAge = time.Second
 	maxFollowerAge = 4 * time.Second
+	// lostMemory is the time after its last call after which a peer that didn't answer counts no longer as lost.
+	lostMemory = time.Minute
 	// answerMemory is the time for which the answer of a peer counts.
 	answerMemory = 1500 * time.Millisecond
 )
@@ -64,6 +67,9 @@
 func (m *Mirror) nextStep(storeOnly, watchBroken bool) step {
 	sources, now := m.config.Sources(), time.Now()
 	peers, isFollower := sources.Peers, sources.Tier >= topology.Direct
+	if s, ok := m.retryStep(sources.Lost, now); ok && !storeOnly {
+		return s
+	}
 	if storeOnly || len(peers) == 0 {
 		if s, ok := m.fallbackStep(sources.Fallback, fallbackStorePause, now); ok && !storeOnly {
 			return s
@@ -78,14 +84,19 @@
 		s.maxAge = indirectMaxAge
 	case topology.Watcher, topology.Relay, topology.Direct:
 	}
-	usable := 0
+	usable, usableAt := 0, now.Add(watchWait)
 	for i, p := range peers {
-		if until, avoided := m.avoidUntil[p.Name]; !avoided || now.After(until) {
-			delete(m.avoidUntil, p.Name)
-			usable++
-			if s.peer == nil {
-				s.peer = &peers[i]
+		until, avoided := m.avoidUntil[p.process()]
+		if avoided && !now.After(until) {
+			if until.Before(usableAt) {
+				usableAt = until
 			}
+			continue
+		}
+		delete(m.avoidUntil, p.process())
+		usable++
+		if s.peer == nil {
+			s.peer = &peers[i]
 		}
 	}
 	if s.peer == nil {
@@ -98,6 +109,7 @@
 			return s
 		}
 	}
+	isReduced := usable < len(peers) || len(sources.Lost) > 0
 	storeAge := m.followerAge(sources.FleetSize)
 	if m.storeAnswers || watchBroken || now.Sub(m.peerAnsweredAt) > answerMemory {
 		// The store has answered this VM, or no peer has, not even that it has lost contact with the store.
@@ -109,15 +121,37 @@
 	case s.peer == nil && m.storeLost && now.Sub(m.lastStoreCall) < storePause:
 		return step{pause: refreshPause}
 	case s.peer == nil:
-		return m.storeStep(watchBroken)
-	case usable < len(peers) && m.Age() >= refreshAge && !m.storeLost:
+		// The list of VMs comes from peers only.
+		s = m.storeStep(watchBroken)
+		s.wait = min(s.wait, max(usableAt.Sub(now), minWait))
+		return s
+	case m.storeLost:
+		// The peer has nothing new either, and a longer call would hide for its time that the peer has ended.
+		s.wait = 0
+	case isReduced && m.Age() >= refreshAge:
 		s.wait = 0
-	case usable < len(peers) && !m.storeLost:
+	case isReduced:
 		s.wait = max(peerWait-m.Age(), minWait)
 	}
 	return s
 }
 
+// retryStep returns the step that calls the lost peer again that has waited longest for it, after each other step. So any number of
+// lost peers takes little time from the others.
+func (m *Mirror) retryStep(lost []Peer, now time.Time) (s step, ok bool) {
+	if m.retried = !m.retried; !m.retried {
+		return step{}, false
+	}
+	first := now
+	for i, p := range lost {
+		if until := m.avoidUntil[p.process()]; until.Before(first) {
+			first, s, ok = until, step{peer: &lost[i], maxAge: maxAge}, true
+		}
+	}
+	m.retried = ok
+	return s, ok
+}
+
 // followerAge returns the age of its entries at which this VM, which isn't a relay, calls the store.
 func (m *Mirror) followerAge(fleetSize int) time.Duration {
 	age := maxFollowerAge
@@ -134,10 +168,10 @@
 		return step{}, false
 	}
 	for i, p := range peers {
-		if until, avoided := m.avoidUntil[p.Name]; avoided && !now.After(until) {
+		if until, avoided := m.avoidUntil[p.process()]; avoided && !now.After(until) {
 			continue
 		}
-		delete(m.avoidUntil, p.Name)
+		delete(m.avoidUntil, p.process())
 		s := step{peer: &peers[i], maxAge: maxAge}
 		if m.Age() < refreshAge {
 			s.wait = max(peerWait-m.Age(), minWait)
@@ -167,7 +201,7 @@
 }
 
 // avoid records that a peer is not followed for a while because of the error.
-func (m *Mirror) avoid(name string, err error) {
+func (m *Mirror) avoid(p Peer, err error) {
 	pause := failedPeerPause
 	if time.Since(m.start) < startupPeriod {
 		// After a loss of power, the peer may start a moment later. While VMs avoid the watcher, the fleet doesn't know itself.
@@ -179,6 +213,6 @@
 	if m.storeLost || errors.Is(err, ErrStale) {
 		pause = stalePeerPause
 	}
-	m.avoidUntil[name] = time.Now().Add(pause)
-	m.config.Log.WithError(err).WithField("peer", name).Info("peer failed; not following it for a while")
+	m.avoidUntil[p.process()] = time.Now().Add(pause)
+	m.config.Log.WithError(err).WithField("peer", p.Name).Info("peer failed; not following it for a while")
 }
--- a/presence/table.go
+++ b/presence/table.go
@@ -22,21 +22,29 @@
 	maxSilence = 3500 * time.Millisecond
 	// usualSilence is the longest silence that is usual of VMs that report to a follower of the leading VM. Lists state longer
 	// ones only.
-	usualSilence = 2500 * time.Millisecond
-	// usualLag is the usual time since the list of a follower was confirmed.
-	usualLag = time.Second
+	usualSilence = 2 * time.Second
 	// maxPassedSilence replaces maxSilence for a VM that another one reports, which calls at least once a second too.
-	maxPassedSilence = maxSilence + 1500*time.Millisecond
-	// maxInheritedSilence replaces it for a VM of an earlier list. It leaves maxSilence to VMs with the usual silence after the
-	// lead has moved.
-	maxInheritedSilence = usualSilence + usualLag + maxSilence
+	maxPassedSilence = maxSilence + time.Second
+	// usualGap is the longest usual time between the last list of a leading VM that has ended and the next one's: a call that
+	// hangs for 1.4 s, and dials of one more VM that has no power. A longer one doesn't count as silence of the VMs, because
+	// they could report themselves to none.
+	usualGap = 1700 * time.Millisecond
+	// followTime is the time in which the VMs turn to a VM that has begun to lead. The first of them to notice that the one before
+	// has ended does so a wait of 1 s before the last.
+	followTime = 1500 * time.Millisecond
+	// maxInheritedSilence replaces maxSilence for a VM that is known from the list of another leading VM only.
+	maxInheritedSilence = usualGap + followTime
 	// gatherDelay is the time for which a leading VM gathers reports before it changes the list.
 	gatherDelay = 200 * time.Millisecond
+	// confirmInterval is the age of the list from which on a leading VM confirms it when a follower calls.
+	confirmInterval = 100 * time.Millisecond
 	// maxRemoved is the number of removals that are kept; a follower that needs older ones gets the whole list.
 	maxRemoved = 1000
 	// maxPause is the time between two calls of Expire above which this process counts as having been paused, in which
 	// case it could not receive reports.
 	maxPause = 1500 * time.Millisecond
+	// settleTime is the time after a pause in which the VMs report themselves again: they avoid a VM that failed for 2 s.
+	settleTime = 2500 * time.Millisecond
 )
 
 // inherited is the reporter under which a VM that begins to lead keeps the list of the VM that led before.
@@ -102,10 +110,11 @@
 	}
 }
 
-// sighting is a VM and the time at which it reported itself.
+// sighting is a VM and the time at which it reported itself, or did so at the latest if it is known from the list of another VM only.
 type sighting struct {
-	vm    fleet.VM
-	heard time.Time
+	vm          fleet.VM
+	heard       time.Time
+	isInherited bool
 }
 
 type listed struct {
@@ -142,8 +151,11 @@
 	// by then.
 	confirmed time.Time
 	silences  map[string]time.Duration
-	// confirmedByOther is the latest time at which another VM made or confirmed a list that this VM has got.
-	confirmedByOther time.Time
+	// kept holds the VMs of lists of other origins until they expire, because the VM that made the present list may not have heard
+	// of them yet.
+	kept map[string]sighting
+	// published holds the VMs that onList was called with last, by name.
+	published map[string]fleet.VM
 	// lastExpiry is the time of the last call of Expire. No VM expires before settled, so that they can report again after this
 	// process was paused.
 	lastExpiry, settled time.Time
@@ -153,7 +165,7 @@
 // change; it must not call the table.
 func New(self fleet.VM, onList func([]fleet.VM), log *logrus.Entry) *Table {
 	return &Table{
-		onList: onList, log: log, self: self, reports: make(map[string]report), list: make(map[string]listed),
+		onList: onList, log: log, self: self, reports: make(map[string]report), list: make(map[string]listed), kept: make(map[string]sighting),
 		changed: make(chan struct{}), lastExpiry: time.Now(),
 	}
 }
@@ -182,7 +194,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := Report{Reporter: t.self.Name}
-	for _, seen := range t.union(now) {
+	// What this VM has inherited is no report of the VMs themselves, and would seem to be one at the receiver.
+	for _, seen := range t.union(now, false) {
 		r.VMs = append(r.VMs, seen.vm)
 		r.Silences = append(r.Silences, now.Sub(seen.heard))
 	}
@@ -216,11 +229,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if now.Sub(t.lastExpiry) > maxPause {
-		t.settled = now.Add(maxSilence)
+		t.settled = now.Add(settleTime)
 	}
 	t.lastExpiry = now
 	for name, r := range t.reports {
-		if now.Sub(r.lastSeen) > maxInheritedSilence && !now.Before(t.settled) {
+		if now.Sub(r.lastSeen) > maxPassedSilence && !now.Before(t.settled) {
 			delete(t.reports, name)
 		}
 	}
@@ -229,7 +242,7 @@
 	}
 }
 
-// Lead sets whether this VM's reports make the list. A VM that begins to lead keeps the earlier list until the VMs had time
+// Lead sets whether this VM's reports make the list. A VM that begins to lead keeps the earlier lists until the VMs had time
 // to report themselves; origin has to be new each time.
 func (t *Table) Lead(leads bool, origin string, now time.Time) {
 	t.mu.Lock()
@@ -245,27 +258,47 @@
 		return
 	}
 	log.Info("this VM leads the list of VMs")
-	// While no VM led, none could report itself to one, so that this time doesn't count.
-	lag := min(now.Sub(t.confirmed), usualLag)
+	gap := max(now.Sub(t.confirmed)-usualGap, 0)
 	r := report{lastSeen: now}
-	for name, l := range t.list {
-		silence, isUnusual := t.silences[name]
-		if !isUnusual {
-			silence = usualSilence
-		}
-		r.vms = append(r.vms, l.vm)
-		r.heard = append(r.heard, now.Add(-silence-lag))
+	for _, seen := range t.known() {
+		r.vms = append(r.vms, seen.vm)
+		r.heard = append(r.heard, seen.heard.Add(gap))
 	}
 	t.reports[inherited] = r
+	clear(t.kept)
 	t.origin, t.compacted = origin, t.version
 	t.update(now)
 }
 
+// known returns the VMs of the list and of earlier ones that have not expired, and when they were last heard of, as far as the
+// lists state it.
+func (t *Table) known() []sighting {
+	var all []sighting
+	for name, l := range t.list {
+		seen := sighting{vm: l.vm, heard: t.confirmed.Add(-t.silences[name])}
+		if earlier, isKept := t.kept[name]; isKept {
+			seen = later(seen, earlier)
+		}
+		if t.confirmed.Sub(seen.heard) <= maxPassedSilence {
+			all = append(all, seen)
+		}
+	}
+	for name, seen := range t.kept {
+		if _, isListed := t.list[name]; !isListed {
+			all = append(all, seen)
+		}
+	}
+	return all
+}
+
 // Changes returns the changes after the position of the same list, or the whole list if they may be incomplete or the position is
 // that of another list. It returns no list to a VM that has a later one.
 func (t *Table) Changes(after Position, now time.Time) Listing {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.leads && now.Sub(t.confirmed) >= confirmInterval {
+		t.update(now)
+	}
 	if isSame := after.Origin == t.origin && after.Version == t.version; !isSame && !t.isAhead(after) {
 		return Listing{}
 	}
@@ -296,13 +329,6 @@
 	return Position{Origin: t.origin, Version: t.version, Confirmed: t.confirmed}
 }
 
-// ConfirmedByOther returns the latest time at which another VM made or confirmed a list that this VM has got, or zero.
-func (t *Table) ConfirmedByOther() time.Time {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.confirmedByOther
-}
-
 // IsAhead reports whether this table has a later list than a VM with a list at the position.
 func (t *Table) IsAhead(of Position) bool {
 	t.mu.Lock()
@@ -326,24 +352,32 @@
 }
 
 // Apply applies a listing from the VM that is followed. It does nothing while this VM leads, or if the list is older than that of
-// the table.
+// the table. VMs that a list of another origin lacks are kept until they expire.
 func (t *Table) Apply(l Listing, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	confirmed := now.Add(-l.Age)
-	if l.Origin != "" && (!t.leads || l.Origin != t.origin) && confirmed.After(t.confirmedByOther) {
-		t.confirmedByOther = confirmed
-	}
 	if t.leads || l.Origin == "" || !l.Whole && l.Origin != t.origin {
 		return
 	}
+	confirmed := now.Add(-l.Age)
+	isSame := l.Origin == t.origin && l.Version == t.version
 	if l.HasAge && (l.Origin == t.origin && l.Version < t.version || l.Origin != t.origin && confirmed.Before(t.confirmed)) {
 		return
 	}
-	if l.Origin != t.origin || l.Version != t.version || confirmed.After(t.confirmed) {
+	if l.HasAge && l.Origin != t.origin {
+		for _, seen := range t.known() {
+			t.kept[seen.vm.Name] = seen
+		}
+	}
+	mayChange := !isSame || len(t.kept) > 0 || len(t.silences) > 0 || len(l.Silences) > 0
+	if !isSame || confirmed.After(t.confirmed) {
 		t.confirmed, t.silences = confirmed, l.Silences
 	}
-	if l.Origin == t.origin && l.Version == t.version {
+	maps.DeleteFunc(t.kept, func(_ string, seen sighting) bool { return t.confirmed.Sub(seen.heard) > maxInheritedSilence })
+	if isSame {
+		if mayChange {
+			t.publish()
+		}
 		return
 	}
 	if l.Whole {
@@ -390,10 +424,12 @@
 	version, changed := t.version+1, false
 	present := make(map[string]bool)
 	t.confirmed, t.silences = now, make(map[string]time.Duration)
-	for _, seen := range t.union(now) {
+	for _, seen := range t.union(now, true) {
 		vm := seen.vm
 		present[vm.Name] = true
-		if silence := now.Sub(seen.heard); silence > usualSilence && !now.Before(t.settled) {
+		// If the silences of inherited VMs were left out when they are short, VMs that have ended would never expire while the lead
+		// moves again and again.
+		if silence := now.Sub(seen.heard); silence > usualSilence || seen.isInherited {
 			t.silences[vm.Name] = silence
 		}
 		if t.list[vm.Name].vm != vm {
@@ -439,24 +475,42 @@
 	}
 }
 
-// notify reports a change of the list; the caller holds mu.
+// notify reports a change of the list to the followers and to onList; the caller holds mu.
 func (t *Table) notify() {
 	close(t.changed)
 	t.changed = make(chan struct{})
-	vms := make([]fleet.VM, 0, len(t.list))
-	for _, l := range t.list {
-		vms = append(vms, l.vm)
+	t.publish()
+}
+
+// publish calls onList if the VMs have changed; the caller holds mu. The leading VM alone decides when its VMs expire.
+func (t *Table) publish() {
+	vms := make(map[string]fleet.VM, len(t.list))
+	if t.leads {
+		for name, l := range t.list {
+			vms[name] = l.vm
+		}
+	} else {
+		for _, seen := range t.known() {
+			vms[seen.vm.Name] = seen.vm
+		}
 	}
-	t.onList(vms)
+	if maps.Equal(vms, t.published) {
+		return
+	}
+	t.published = vms
+	t.onList(slices.Collect(maps.Values(vms)))
 }
 
-// union returns this VM, unless it leaves, and all reported VMs that have not expired by name; the caller holds mu. A VM that has
-// moved from one VM to another is reported by both for a while; its latest state counts, or the latest report of two incarnations.
-func (t *Table) union(now time.Time) []sighting {
+// union returns this VM, unless it leaves, and all reported VMs that have not expired by name, with or without those of earlier
+// lists; the caller holds mu. A VM that has moved from one VM to another is reported by both for a while; its latest state counts, or the latest report of two incarnations.
+func (t *Table) union(now time.Time, withInherited bool) []sighting {
 	latest := make(map[string]sighting)
 	for reporter, r := range t.reports {
+		if reporter == inherited && !withInherited {
+			continue
+		}
 		for i, vm := range r.vms {
-			seen := sighting{vm, r.heard[i]}
+			seen := sighting{vm, r.heard[i], reporter == inherited}
 			if now.Sub(seen.heard) > silenceBound(reporter, vm.Name) && !now.Before(t.settled) {
 				continue
 			}
@@ -468,7 +522,7 @@
 	}
 	delete(latest, t.self.Name)
 	if !t.leaving {
-		latest[t.self.Name] = sighting{t.self, now}
+		latest[t.self.Name] = sighting{vm: t.self, heard: now}
 	}
 	return slices.SortedFunc(maps.Values(latest), func(a, b sighting) int { return strings.Compare(a.vm.Name, b.vm.Name) })
 }
