Remove a VM from the list when it expires, not up to half a second later

A VM that had ended stayed in the list until the next call of Expire, 0.5 s apart, or the next call of a follower.

TestKeptVMs fails without the mend and passes with it.

--- a/presence/presence_test.go
+++ b/presence/presence_test.go
@@ -312,3 +312,57 @@
 		}
 	})
 }
+
+// lists reports whether the node lists the VM with the name.
+func (n *node) lists(name string) bool {
+	for _, vm := range n.list {
+		if vm.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// TestKeptVMs guards against a follower that loses live VMs because it turns to a leading VM that hasn't heard of them yet, and
+// against VMs that it keeps for too long, also if it begins to lead itself.
+func TestKeptVMs(t *testing.T) {
+	const bound, leadAt = 3500 * time.Millisecond, 3300 * time.Millisecond
+	for name, followed := range map[string]bool{"follows the next VM": true, "leads itself": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				root, next, live, gone, follower := newNode("root"), newNode("next"), newNode("live"), newNode("gone"), newNode("follower")
+				root.table.Lead(true, "root-1", time.Now())
+				for range 4 {
+					for _, x := range []*node{live, gone, follower} {
+						x.follow(root, false)
+					}
+					time.Sleep(500 * time.Millisecond)
+					synctest.Wait()
+				}
+				next.table.Lead(true, "next-1", time.Now())
+				ended := time.Now()
+				follower.follow(next, false)
+				if !follower.lists("live") || !follower.lists("gone") {
+					t.Fatalf("only %d VMs are listed after the first call to the next VM", len(follower.list))
+				}
+				for time.Since(ended) < bound {
+					time.Sleep(100 * time.Millisecond)
+					live.follow(next, false)
+					if followed || time.Since(ended) < 2*time.Second {
+						follower.follow(next, false)
+					} else if time.Since(ended) > leadAt {
+						follower.table.Lead(true, "follower-1", time.Now())
+						live.follow(follower, false)
+					}
+					follower.table.Expire(time.Now())
+					if !follower.lists("live") {
+						t.Fatalf("a live VM is not listed after %s", time.Since(ended))
+					}
+				}
+				if follower.lists("gone") {
+					t.Errorf("a VM that has ended is still listed after %s", time.Since(ended))
+				}
+			})
+		})
+	}
+}
--- a/presence/table.go
+++ b/presence/table.go
@@ -112,8 +112,10 @@
 
 // sighting is a VM and the time at which it reported itself, or did so at the latest if it is known from the list of another VM only.
 type sighting struct {
-	vm          fleet.VM
-	heard       time.Time
+	vm    fleet.VM
+	heard time.Time
+	// expiry is the time at which the VM expires, if a report tells of it.
+	expiry      time.Time
 	isInherited bool
 }
 
@@ -140,6 +142,8 @@
 	// leads reports whether this VM's reports make the list. The list is then updated at most once in gatherDelay.
 	leads   bool
 	pending bool
+	// expiry fires when the next VM of the list expires.
+	expiry *time.Timer
 
 	origin    string
 	version   uint64
@@ -251,6 +255,9 @@
 		return
 	}
 	t.leads = leads
+	if t.expiry != nil {
+		t.expiry.Stop()
+	}
 	delete(t.reports, inherited)
 	log := t.log.WithFields(logrus.Fields{"listed": len(t.list), "confirmed-ms-ago": now.Sub(t.confirmed).Milliseconds()})
 	if !leads {
@@ -268,6 +275,8 @@
 	clear(t.kept)
 	t.origin, t.compacted = origin, t.version
 	t.update(now)
+	// VMs that were kept and have expired by now are on no list that could change.
+	t.publish()
 }
 
 // known returns the VMs of the list and of earlier ones that have not expired, and when they were last heard of, as far as the
@@ -424,8 +433,12 @@
 	version, changed := t.version+1, false
 	present := make(map[string]bool)
 	t.confirmed, t.silences = now, make(map[string]time.Duration)
+	next := now.Add(maxPassedSilence)
 	for _, seen := range t.union(now, true) {
 		vm := seen.vm
+		if seen.expiry.After(now) && seen.expiry.Before(next) {
+			next = seen.expiry
+		}
 		present[vm.Name] = true
 		// If the silences of inherited VMs were left out when they are short, VMs that have ended would never expire while the lead
 		// moves again and again.
@@ -448,6 +461,22 @@
 		t.version = version
 		t.notify()
 	}
+	t.expireAt(next)
+}
+
+// expireAt updates the list at the time of the next expiry, if this VM leads then and no later update has set another time; the
+// caller holds mu.
+func (t *Table) expireAt(at time.Time) {
+	if t.expiry != nil {
+		t.expiry.Stop()
+	}
+	t.expiry = time.AfterFunc(time.Until(at), func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		if t.leads {
+			t.update(time.Now())
+		}
+	})
 }
 
 // logRemoval logs that this VM, which leads, removes another one from the list, and who reported it last; the caller holds mu.
@@ -510,8 +539,8 @@
 			continue
 		}
 		for i, vm := range r.vms {
-			seen := sighting{vm, r.heard[i], reporter == inherited}
-			if now.Sub(seen.heard) > silenceBound(reporter, vm.Name) && !now.Before(t.settled) {
+			seen := sighting{vm: vm, heard: r.heard[i], expiry: r.heard[i].Add(silenceBound(reporter, vm.Name)), isInherited: reporter == inherited}
+			if !now.Before(seen.expiry) && !now.Before(t.settled) {
 				continue
 			}
 			if other, exists := latest[vm.Name]; exists {
