Don't take entries from a VM that has them from this one

Cause: the VM that is cut off follows its standby, and counts as fresh with the first answer. The standby turned back to it after half a second and left the store, so that each had its entries from the other and nobody read the store, until their age showed it: an age of up to 1.25 s is accepted, and the next call waits for another second.

Change: entries state the incarnation of the VM that called the store for them. A VM doesn't follow one that has its entries from itself. A VM that reads the store asks others without a wait, so that it leaves the store only to one that reaches it. The waits of other calls end 0.3 s after the entries are too old. Earlier releases state no reader and ignore it; beside them nothing changes.

--- a/membership/lost_test.go
+++ b/membership/lost_test.go
@@ -43,6 +43,9 @@
 	missing  int
 	narrow   int
 	narrowBy string
+	// inForce is the longest time until a version of the rules was in force at a sound VM, and late the VM.
+	inForce time.Duration
+	late    string
 }
 
 func (o *observer) end(nodes ...*node) {
@@ -381,3 +384,92 @@
 		}
 	}
 }
+
+// changeRules changes the rules at random intervals, often twice in succession, until ctx is done, and records how long the sound VMs
+// take to have each version in force.
+func (o *observer) changeRules(ctx context.Context, s *store, rnd *rand.Rand) {
+	for ctx.Err() == nil {
+		s.put("rules", nil)
+		go o.follow(s.latest(), time.Now())
+		time.Sleep(time.Duration(rnd.Float64()*rnd.Float64()*float64(800*time.Millisecond)) + 20*time.Millisecond)
+	}
+}
+
+// follow records how long the VMs that are sound all the while take to have the version in force.
+func (o *observer) follow(version uint64, changed time.Time) {
+	for time.Since(changed) < 5*time.Second {
+		late := ""
+		o.network.mu.Lock()
+		for _, x := range o.network.nodes {
+			if !x.running || x.leaving || changed.Sub(x.startedAt) < reachTime || changed.Sub(x.impairedUntil) < touchTime {
+				continue
+			}
+			if set := x.mirror.Rules(); set == nil || set.Version < version {
+				late = x.vm.Name
+			}
+		}
+		o.network.mu.Unlock()
+		if late == "" {
+			return
+		}
+		o.mu.Lock()
+		if d := time.Since(changed); d > o.inForce {
+			o.inForce, o.late = d, late
+		}
+		o.mu.Unlock()
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// TestRulesWhileWatcherLost guards against sound VMs that run requests by replaced rules because nobody reads the store for a while:
+// the VM that watches it has ended, stands still or has lost its path to the store, and those that should take over follow each other.
+func TestRulesWhileWatcherLost(t *testing.T) {
+	const inForce = 2 * time.Second
+	impair := func(begin func(n *network) func(*store, time.Duration, ...*node), n int) fault {
+		return func(f *faults) {
+			for range 3 {
+				rest := slices.Clone(f.nodes)
+				for range n {
+					x := leader(rest)
+					rest = slices.DeleteFunc(rest, func(y *node) bool { return x == y })
+					if d := f.between(time.Second, 12*time.Second); !time.Now().Before(x.impairedUntil) {
+						begin(f.network)(f.store, d, x)
+					}
+				}
+				time.Sleep(f.between(time.Second, 14*time.Second))
+			}
+		}
+	}
+	cutStore := func(n *network) func(*store, time.Duration, ...*node) { return n.cutStore }
+	isolate := func(n *network) func(*store, time.Duration, ...*node) { return n.isolate }
+	freeze := func(n *network) func(*store, time.Duration, ...*node) { return n.freeze }
+	causes := map[string]fault{
+		"the watcher loses the store":       impair(cutStore, 1),
+		"the first four VMs lose the store": impair(cutStore, 4),
+		"the watcher is cut off":            impair(isolate, 1),
+		"the watcher stands still":          impair(freeze, 1),
+		"the watcher loses power":           func(f *faults) { f.strike(1, f.network.cutPower) },
+		"the first two VMs lose power":      func(f *faults) { f.strike(2, f.network.cutPower) },
+		"VMs are killed in series":          func(f *faults) { f.series(4, f.network.kill) },
+	}
+	for name, cause := range causes {
+		for seed := *first; seed < *first+*seeds; seed++ {
+			t.Run(fmt.Sprintf("%s, seed %d", name, seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					o := runFaults(t, fleetOf(14, 3), seed, func(f *faults) {
+						ctx, cancel := context.WithCancel(t.Context())
+						defer cancel()
+						go f.observer.changeRules(ctx, f.store, rand.New(rand.NewPCG(seed, 2)))
+						time.Sleep(2 * time.Second)
+						cause(f)
+						time.Sleep(5 * time.Second)
+					})
+					if o.inForce > inForce {
+						t.Errorf("%s has rules in force only after %s", o.late, o.inForce)
+					}
+					t.Logf("in force after %s", o.inForce)
+				})
+			})
+		}
+	}
+}
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -337,7 +337,9 @@
 	// isolated holds the names of the nodes without a path to the others and the store, and frozen those whose processes stand still, with
 	// channels that are closed when they go on.
 	isolated map[string]bool
-	frozen   map[string]chan struct{}
+	// noStore holds the names of the nodes without a path to the store.
+	noStore map[string]bool
+	frozen  map[string]chan struct{}
 	// seeds are the addresses of the VMs that a starting VM knows without the store.
 	seeds []string
 }
@@ -345,7 +347,7 @@
 func newNetwork() *network {
 	return &network{
 		nodes: make(map[string]*node), silent: make(map[string]bool), connected: make(map[[2]string]bool),
-		isolated: make(map[string]bool), frozen: make(map[string]chan struct{}),
+		isolated: make(map[string]bool), noStore: make(map[string]bool), frozen: make(map[string]chan struct{}),
 	}
 }
 
@@ -409,6 +411,11 @@
 	n.impair(s, d, nodes, func(x *node) { n.isolated[x.vm.Name] = true }, func(x *node) { delete(n.isolated, x.vm.Name) })
 }
 
+// cutStore cuts the nodes off from the store for the time.
+func (n *network) cutStore(s *store, d time.Duration, nodes ...*node) {
+	n.impair(s, d, nodes, func(x *node) { n.noStore[x.vm.Name] = true }, func(x *node) { delete(n.noStore, x.vm.Name) })
+}
+
 // freeze makes the processes of the nodes stand still for the time.
 func (n *network) freeze(s *store, d time.Duration, nodes ...*node) {
 	n.impair(s, d, nodes, func(x *node) { n.frozen[x.vm.Name] = make(chan struct{}) }, func(x *node) {
@@ -435,6 +442,13 @@
 	}
 }
 
+// isWithoutStore reports whether the node has no path to the store.
+func (n *network) isWithoutStore(vm fleet.VM) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.isolated[vm.Name] || n.noStore[vm.Name] || n.cutOff == vm.FailureDomain
+}
+
 // isIsolated reports whether the node has no path to others.
 func (n *network) isIsolated(name string) bool {
 	n.mu.Lock()
@@ -485,7 +499,7 @@
 // try returns an error if the call fails, which has its price if the store turns the node away.
 func (a access) try(ctx context.Context, price float64) error {
 	a.network.thaw(a.vm.Name)
-	if a.network.isCutOff(a.vm.FailureDomain, "") || a.network.isIsolated(a.vm.Name) {
+	if a.network.isWithoutStore(a.vm) {
 		return silence(ctx)
 	}
 	a.network.mu.Lock()
@@ -515,7 +529,7 @@
 	if a.network.thaw(a.vm.Name) {
 		return mirror.Batch{}, errUnavailable
 	}
-	if a.network.isCutOff(a.vm.FailureDomain, "") || a.network.isIsolated(a.vm.Name) {
+	if a.network.isWithoutStore(a.vm) {
 		return mirror.Batch{}, silence(ctx)
 	}
 	return b, err
--- a/mirror/change.go
+++ b/mirror/change.go
@@ -128,6 +128,8 @@
 	// and IsConfirmed if it is known.
 	Confirmed   time.Duration
 	IsConfirmed bool
+	// Reader is the incarnation of the VM that called the store for the entries. A VM of an earlier release states none.
+	Reader string
 	// OutageEnd is the time at which the watcher of the store last regained contact with it, or zero. Entries that expired
 	// in the outage may return within a grace period.
 	OutageEnd time.Time
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -409,6 +409,13 @@
 	if err == nil && s.peer != nil && b.Age > s.maxAge {
 		err = errors.Mark(errors.Newf("last contact of the peer with the store was %d ms ago", b.Age.Milliseconds()), ErrStale)
 	}
+	switch self := m.config.Fleet.Self().Incarnation; {
+	case s.peer == nil:
+		b.Reader = self
+	case err == nil && self != "" && b.Reader == self && !s.isFallback:
+		// The peer doesn't reach the store and follows this VM. If each took its entries from the other, nobody would read the store.
+		err = errors.Mark(errors.New("the peer has its entries from this VM"), ErrStale)
+	}
 	before := m.Position()
 	if err == nil {
 		err = checkHistory(b, before, s.peer != nil)
--- a/mirror/step.go
+++ b/mirror/step.go
@@ -20,6 +20,9 @@
 	// indirectMaxAge replaces maxAge for a VM that follows a relay. It is longer, so that the relay turns to the standby
 	// before its followers turn away.
 	indirectMaxAge = 2 * time.Second
+	// staleSlack is the time beyond these ages in which a peer may learn that the store answers again, so that not all VMs call it after a
+	// moment in which it didn't.
+	staleSlack = 300 * time.Millisecond
 	// refreshAge is the age of this VM's entries from which on it calls a peer without a wait after another one has failed.
 	refreshAge = peerWait
 	// keyAgeShare is the share of MaxKeyAge at which a peer's answer should arrive at the latest. Without that bound, the ages of VMs that
@@ -60,6 +63,8 @@
 	wait time.Duration
 	// maxAge is the age of the peer's batch above which the peer counts as failed.
 	maxAge time.Duration
+	// isFallback reports that the peer is followed because the store fails here.
+	isFallback bool
 }
 
 // nextStep returns the next step. When all VMs lose the one that they follow, only the standby should call the store; the
@@ -130,8 +135,14 @@
 		s.wait = 0
 	case isReduced && m.Age() >= refreshAge:
 		s.wait = 0
+	case m.storeAnswers:
+		// This VM reads the store. A call that waits would leave the store to a peer that may not reach it.
+		s.wait = 0
 	case isReduced:
 		s.wait = max(peerWait-m.Age(), minWait)
+	case sources.Tier != topology.Indirect:
+		// A peer that no longer reaches the store is found out soon after its entries are too old.
+		s.wait = min(s.wait, max(s.maxAge+staleSlack-m.Age(), minWait))
 	}
 	return s
 }
@@ -172,7 +183,7 @@
 			continue
 		}
 		delete(m.avoidUntil, p.process())
-		s := step{peer: &peers[i], maxAge: maxAge}
+		s := step{peer: &peers[i], maxAge: maxAge, isFallback: true}
 		if m.Age() < refreshAge {
 			s.wait = max(peerWait-m.Age(), minWait)
 		}
--- a/relay/convert.go
+++ b/relay/convert.go
@@ -12,7 +12,7 @@
 func encode(b mirror.Batch, block []byte, fresh, unknown bool, l presence.Listing) *wireBatch {
 	w := &wireBatch{
 		Entries: block, Whole: b.Whole, Era: b.Era, Revision: b.Revision, AgeMS: b.Age.Milliseconds(), Fresh: fresh, Unknown: unknown,
-		List: encodeList(l),
+		Reader: b.Reader, List: encodeList(l),
 	}
 	if !b.OutageEnd.IsZero() {
 		w.OutageMS = max(time.Since(b.OutageEnd).Milliseconds(), 1)
@@ -21,7 +21,7 @@
 }
 
 func decode(w *wireBatch, now time.Time) (mirror.Batch, error) {
-	b := mirror.Batch{Whole: w.Whole, Era: w.Era, Revision: w.Revision, Age: time.Duration(w.AgeMS) * time.Millisecond}
+	b := mirror.Batch{Whole: w.Whole, Era: w.Era, Revision: w.Revision, Age: time.Duration(w.AgeMS) * time.Millisecond, Reader: w.Reader}
 	if w.OutageMS > 0 {
 		b.OutageEnd = now.Add(-time.Duration(w.OutageMS) * time.Millisecond)
 	}
--- a/relay/log.go
+++ b/relay/log.go
@@ -30,6 +30,8 @@
 	confirmed   time.Duration
 	isConfirmed bool
 	clock       func() time.Duration
+	// reader is the incarnation of the VM that called the store for the entries.
+	reader string
 	// outageEnd is the end of the last outage of the store.
 	outageEnd time.Time
 	changed   chan struct{}
@@ -71,7 +73,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.lastContact, l.fresh, l.outageEnd = lastContact, true, b.OutageEnd
-	l.confirmed, l.isConfirmed = b.Confirmed, b.IsConfirmed
+	l.confirmed, l.isConfirmed, l.reader = b.Confirmed, b.IsConfirmed, b.Reader
 	if b.Whole {
 		l.replace(b)
 	}
@@ -141,7 +143,10 @@
 	if after.Era == 0 {
 		after.Era = l.era
 	}
-	b := mirror.Batch{Era: l.era, Revision: l.revision, Age: time.Since(l.lastContact), OutageEnd: l.outageEnd, Confirmed: l.confirmed, IsConfirmed: l.isConfirmed}
+	b := mirror.Batch{
+		Era: l.era, Revision: l.revision, Age: time.Since(l.lastContact), OutageEnd: l.outageEnd, Confirmed: l.confirmed, IsConfirmed: l.isConfirmed,
+		Reader: l.reader,
+	}
 	if after.Era > l.era {
 		return b, l.fresh, l.changed
 	}
--- a/relay/peer.go
+++ b/relay/peer.go
@@ -68,6 +68,8 @@
 	// request, negative if the latter came first. It is missing if it isn't known; an earlier release states none.
 	SentAgeMS *int64 `json:"sent-age-ms,omitempty"`
 	Fresh     bool   `json:"fresh"`
+	// Reader is the incarnation of the VM that called the store for the entries; an earlier release states none.
+	Reader string `json:"reader,omitempty"`
 	// OutageMS is the time since the end of the last outage of the store, or 0 if there was none.
 	OutageMS int64 `json:"outage-ms,omitempty"`
 	// Unknown reports that the VMs of the follower's report are needed.
