--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -1256,7 +1256,7 @@
 func TestGoneDuringOutage(t *testing.T) {
 	const (
 		// bound is the time after which a VM that has ended must not be named.
-		bound    = 12 * time.Second
+		bound    = 6 * time.Second
 		interval = 1300 * time.Millisecond
 	)
 	for name, c := range map[string]struct{ vms, fast, ended int }{
--- a/presence/table.go
+++ b/presence/table.go
@@ -20,9 +20,9 @@
 	// maxSilence is the time after which a VM expires that doesn't repeat its report to this one. Followers call at least
 	// once a second and turn to another VM within 1.4 s.
 	maxSilence = 3500 * time.Millisecond
-	// usualSilence is the longest silence that is usual of VMs that report to a follower of the leading VM. Lists state longer
-	// ones only.
-	usualSilence = 2 * time.Second
+	// usualSilence is the silence above which lists state it. VMs that report to a follower of the leading VM are hardly ever silent
+	// for longer, and a VM that ended as long before the leading one adds it to the time for which it is named.
+	usualSilence = 1800 * time.Millisecond
 	// maxPassedSilence replaces maxSilence for a VM that another one reports, which calls at least once a second too.
 	maxPassedSilence = maxSilence + time.Second
 	// usualGap is the longest usual time between the last list of a leading VM that has ended and the next one's: a call that
