Pick the first VMs of a fleet in one place in the tests of lost leaders

Comments that named the wrong key, or stood over another field, are put right. No check or bound changes. TestLeadingVMLost with 14 VMs, TestRulesWhileWatcherLost and the tests of fleet pass. A run of the whole membership package was cut off after 110 s without a verdict.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -260,8 +260,7 @@
 }
 
 // Confirmed is like List without the VMs that the VMs don't list themselves, if they have listed them before or if registrations may
-// have ended. Before the VMs
-// have listed themselves, it is the same as List.
+// have ended. Before the VMs have listed themselves, it is the same as List.
 func (f *Fleet) Confirmed() []VM {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/membership/lost_test.go
+++ b/membership/lost_test.go
@@ -34,7 +34,7 @@
 type observer struct {
 	network *network
 	mu      sync.Mutex
-	// ended holds the times at which VMs ended, by incarnation.
+	// ended holds the times at which VMs ended, by name.
 	ended map[string]time.Time
 	// named is the longest time for which an ended VM was named, and by whom.
 	named    time.Duration
@@ -132,19 +132,24 @@
 	return from + time.Duration(f.rand.Float64()*float64(to-from))
 }
 
-// strike ends the first n VMs of the order with the function.
-func (f *faults) strike(n int, end func(s *store, nodes ...*node)) {
-	var struck []*node
-	rest := slices.Clone(f.nodes)
+// split returns the first n running relays of the order, or fewer if there are fewer, and the other nodes.
+func split(nodes []*node, n int) (leading, others []*node) {
+	others = slices.Clone(nodes)
 	for range n {
-		x := leader(rest)
+		x := leader(others)
 		if x == nil {
 			break
 		}
-		rest = slices.DeleteFunc(rest, func(y *node) bool { return x == y })
-		struck = append(struck, x)
+		others = slices.DeleteFunc(others, func(y *node) bool { return x == y })
+		leading = append(leading, x)
 	}
-	f.nodes = rest
+	return leading, others
+}
+
+// strike ends the first n VMs of the order with the function.
+func (f *faults) strike(n int, end func(s *store, nodes ...*node)) {
+	struck, others := split(f.nodes, n)
+	f.nodes = others
 	f.observer.end(struck...)
 	end(f.store, struck...)
 }
@@ -259,17 +264,10 @@
 
 // impair impairs the first n VMs while others end.
 func (f *faults) impair(begin func(s *store, d time.Duration, nodes ...*node), n int) {
-	var struck []*node
-	rest := slices.Clone(f.nodes)
-	for range n {
-		if x := leader(rest); x != nil {
-			rest = slices.DeleteFunc(rest, func(y *node) bool { return x == y })
-			struck = append(struck, x)
-		}
-	}
+	struck, others := split(f.nodes, n)
 	d := f.between(time.Second, 10*time.Second)
 	begin(f.store, d, struck...)
-	f.nodes = rest
+	f.nodes = others
 	end := time.Now().Add(d)
 	for range 3 {
 		time.Sleep(f.between(0, d/4))
@@ -428,10 +426,8 @@
 	impair := func(begin func(n *network) func(*store, time.Duration, ...*node), n int) fault {
 		return func(f *faults) {
 			for range 3 {
-				rest := slices.Clone(f.nodes)
-				for range n {
-					x := leader(rest)
-					rest = slices.DeleteFunc(rest, func(y *node) bool { return x == y })
+				leading, _ := split(f.nodes, n)
+				for _, x := range leading {
 					if d := f.between(time.Second, 12*time.Second); !time.Now().Before(x.impairedUntil) {
 						begin(f.network)(f.store, d, x)
 					}
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -315,13 +315,13 @@
 	registration *registration.Registration
 	cancel       context.CancelFunc
 	running      bool
-	// ended is closed when the process ends, startedAt is the time of its start.
 	// leaving reports that the VM shuts down gracefully.
 	leaving bool
-	ended   chan struct{}
+	// ended is closed when the process ends, and startedAt is the time of its start.
+	ended     chan struct{}
+	startedAt time.Time
 	// impairedUntil is the time at which the last impairment of the VM ends.
 	impairedUntil time.Time
-	startedAt     time.Time
 }
 
 // network holds the nodes by name.
@@ -337,9 +337,9 @@
 	// isolated holds the names of the nodes without a path to the others and the store, and frozen those whose processes stand still, with
 	// channels that are closed when they go on.
 	isolated map[string]bool
+	frozen   map[string]chan struct{}
 	// noStore holds the names of the nodes without a path to the store.
 	noStore map[string]bool
-	frozen  map[string]chan struct{}
 	// seeds are the addresses of the VMs that a starting VM knows without the store.
 	seeds []string
 }
